--- /dev/null
+++ b/internal/core/group/group.go
@@ -0,0 +1,84 @@
+// Package group starts goroutines that end together.
+package group
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Group runs goroutines under one context. The zero value is ready to use and
+// runs them under the background context.
+type Group struct {
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	err    error
+}
+
+// New returns a group whose goroutines run under a child of ctx.
+func New(ctx context.Context) *Group {
+	g := new(Group)
+	g.ctx, g.cancel = context.WithCancel(ctx)
+	return g
+}
+
+// Context returns the context that ends with the group.
+func (g *Group) Context() context.Context {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ctx == nil {
+		g.ctx, g.cancel = context.WithCancel(context.Background())
+	}
+	return g.ctx
+}
+
+// Go runs fn in a goroutine. The first error cancels the group.
+func (g *Group) Go(fn func(ctx context.Context) error) {
+	ctx := g.Context()
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		if err := fn(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			g.fail(err)
+		}
+	}()
+}
+
+func (g *Group) fail(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.err == nil {
+		g.err = err
+	}
+	g.cancel()
+}
+
+// Cancel ends the group's context.
+func (g *Group) Cancel() {
+	g.Context()
+	g.cancel()
+}
+
+// Wait waits for all goroutines and returns the first error.
+func (g *Group) Wait() error {
+	g.wg.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.err
+}
+
+// Stop cancels the group and waits until all goroutines have ended or ctx does.
+func (g *Group) Stop(ctx context.Context) error {
+	g.Cancel()
+	done := make(chan error, 1)
+	go func() { done <- g.Wait() }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "stop group")
+	}
+}
--- /dev/null
+++ b/internal/core/kern/kern_test.go
@@ -0,0 +1,62 @@
+package kern
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+type fake struct {
+	name string
+	fail bool
+	log  *[]string
+}
+
+func (f fake) Name() string { return f.name }
+
+func (f fake) Start(context.Context) error {
+	*f.log = append(*f.log, "+"+f.name)
+	if f.fail {
+		return errors.New("no port")
+	}
+	return nil
+}
+
+func (f fake) Stop(context.Context) error {
+	*f.log = append(*f.log, "-"+f.name)
+	return nil
+}
+
+// Guards against services left running when a later one fails to start.
+func TestFailedStartStopsEarlierInReverse(t *testing.T) {
+	var log []string
+	var k Kernel
+	for _, f := range []fake{{name: "a", log: &log}, {name: "b", log: &log}, {name: "c", fail: true, log: &log}} {
+		if err := k.Add(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := k.Start(context.Background()); err == nil {
+		t.Fatal("Start succeeded")
+	}
+	if got := strings.Join(log, " "); got != "+a +b +c -b -a" {
+		t.Fatalf("order is %q", got)
+	}
+}
+
+// Guards against a lookup that returns a service of another type.
+func TestFindChecksType(t *testing.T) {
+	var log []string
+	var k Kernel
+	if err := k.Add(fake{name: "a", log: &log}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Find[fake](&k, "a"); err != nil {
+		t.Error(err)
+	}
+	if _, err := Find[interface{ Missing() }](&k, "a"); err == nil {
+		t.Error("Find returned a service of another type")
+	}
+}
