Add token buckets and rate shares between hosts

Cause: the rate and burst of a team hold over the whole fleet, so each host needs a part that never overlaps with that of another. Change: rate holds buckets in fixed-point arithmetic. share keeps the register and the parts of a failure domain in one row, the fractions of the domains in another, and moves quota between hosts by loans.

--- /dev/null
+++ b/internal/limit/rate/amount.go
@@ -0,0 +1,86 @@
+// Package rate holds token buckets in fixed-point arithmetic, so that the bound
+// rate × window + burst is exact.
+package rate
+
+import (
+	"math"
+	"math/bits"
+)
+
+// Amount is a number of tokens, or of tokens per second, in millionths.
+type Amount int64
+
+const (
+	// Unit is one token.
+	Unit Amount = 1_000_000
+	// Max is the largest amount. It leaves room to add several amounts.
+	Max Amount = math.MaxInt64 / 8
+)
+
+// Limit converts a limit to an Amount, rounded down.
+func Limit(tokens float64) Amount {
+	return clamp(math.Floor(tokens * float64(Unit)))
+}
+
+// Cost converts a cost to an Amount, rounded up, so that no charge is lost.
+func Cost(tokens float64) Amount {
+	return clamp(math.Ceil(tokens * float64(Unit)))
+}
+
+func clamp(v float64) Amount {
+	switch {
+	case !(v > 0):
+		return 0
+	case v >= float64(Max):
+		return Max
+	}
+	return Amount(v)
+}
+
+// Tokens returns the amount in tokens.
+func (a Amount) Tokens() float64 { return float64(a) / float64(Unit) }
+
+// Scale returns a × num / den, rounded down. It is 0 when an operand is not
+// positive, and at most Max.
+func (a Amount) Scale(num, den int64) Amount {
+	if a <= 0 || num <= 0 || den <= 0 {
+		return 0
+	}
+	hi, lo := bits.Mul64(uint64(a), uint64(num))
+	if hi >= uint64(den) {
+		return Max
+	}
+	q, _ := bits.Div64(hi, lo, uint64(den))
+	return Amount(min(q, uint64(Max)))
+}
+
+// Quota is a part of a rate and of a burst.
+type Quota struct {
+	Rate  Amount
+	Burst Amount
+}
+
+// Plus returns q + o.
+func (q Quota) Plus(o Quota) Quota {
+	return Quota{Rate: q.Rate + o.Rate, Burst: q.Burst + o.Burst}
+}
+
+// Minus returns q - o, where neither component falls below zero.
+func (q Quota) Minus(o Quota) Quota {
+	return Quota{Rate: max(0, q.Rate-o.Rate), Burst: max(0, q.Burst-o.Burst)}
+}
+
+// Scale returns q × num / den, rounded down.
+func (q Quota) Scale(num, den int64) Quota {
+	return Quota{Rate: q.Rate.Scale(num, den), Burst: q.Burst.Scale(num, den)}
+}
+
+// Covers reports whether both components of q are at least those of o.
+func (q Quota) Covers(o Quota) bool {
+	return q.Rate >= o.Rate && q.Burst >= o.Burst
+}
+
+// Min returns the smaller of each component.
+func (q Quota) Min(o Quota) Quota {
+	return Quota{Rate: min(q.Rate, o.Rate), Burst: min(q.Burst, o.Burst)}
+}
--- /dev/null
+++ b/internal/limit/share/apply.go
@@ -0,0 +1,153 @@
+package share
+
+import (
+	"strconv"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/rate"
+)
+
+// applyRow puts a committed row in force, unless a newer one is. The caller
+// holds mu.
+func (s *Service) applyRow(now time.Time, r *row) {
+	if r.Plan < s.row.Plan {
+		return
+	}
+	changed := r.Plan != s.row.Plan
+	s.row = r
+	s.observe(now, r)
+	if !changed {
+		return
+	}
+	s.noteRegistration()
+	s.applyParts(now)
+	s.emitParts()
+	s.dirty = true
+}
+
+// notify tells the watchers of a changed register. The caller does not hold mu.
+func (s *Service) notify() {
+	s.mu.Lock()
+	dirty, watchers := s.dirty, s.watchers
+	s.dirty = false
+	s.mu.Unlock()
+	if !dirty {
+		return
+	}
+	for _, fn := range watchers {
+		fn()
+	}
+}
+
+// noteRegistration finds out whether this incarnation is still registered.
+func (s *Service) noteRegistration() {
+	e := s.row.find(s.cfg.Self.ID)
+	was := s.registered
+	s.registered = e != nil && e.Incarnation == s.cfg.Self.Incarnation
+	if was == s.registered {
+		return
+	}
+	if s.registered {
+		s.cfg.Counters.Add("share.registered", 1)
+		s.cfg.Events.Emit("share.registered", "added to the row of the failure domain")
+		return
+	}
+	s.replaced = e != nil
+	cause := "removed from the row of the failure domain"
+	if s.replaced {
+		cause = "replaced by a new incarnation at the same address"
+	}
+	s.cfg.Counters.Add("share.unregistered", 1)
+	s.cfg.Events.Emit("share.unregistered", cause)
+}
+
+// parts returns the fraction of the fleet's limits that the domain may use and
+// this host's part of the domain.
+func (s *Service) parts(now time.Time) (int64, part) {
+	e := s.row.own(s.cfg.Self.ID, s.cfg.Self.Incarnation)
+	if e == nil || s.stopping.Load() || now.Before(s.usableFrom) {
+		return 0, part{}
+	}
+	return min(s.row.Fraction, s.tableFraction()), e.Grant
+}
+
+// tableFraction is the domain's fraction by the table in force.
+func (s *Service) tableFraction() int64 {
+	if s.table == nil {
+		return 0
+	}
+	for i := range s.table.Domains {
+		if s.table.Domains[i].Name == s.cfg.Self.Domain {
+			return whole / int64(len(s.table.Domains))
+		}
+	}
+	return 0
+}
+
+// applyParts recomputes this host's part of each team's limit.
+func (s *Service) applyParts(now time.Time) {
+	old := *s.teams.Load()
+	next := make(map[cove.Team]*team, len(old))
+	fraction, p := s.parts(now)
+	if s.table != nil {
+		for i := range s.table.Teams {
+			row := &s.table.Teams[i]
+			t, ok := old[row.Name]
+			if !ok {
+				t = newTeam(row.Name)
+			}
+			limit := rate.Quota{Rate: rate.Limit(row.Rate), Burst: rate.Limit(row.Burst)}
+			domain := limit.Scale(fraction, whole)
+			t.setParts(now, true, limit, domain.Scale(p.Reserve, whole), domain.Scale(p.Leased, whole))
+			if !ok {
+				t.setLease(now, s.lease.end)
+			}
+			next[row.Name] = t
+		}
+	}
+	for name, t := range old {
+		if _, ok := next[name]; ok {
+			continue
+		}
+		t.setParts(now, false, rate.Quota{}, rate.Quota{}, rate.Quota{})
+		if !t.idle() {
+			next[name] = t
+		}
+	}
+	s.teams.Store(&next)
+}
+
+// setTable puts a new table in force. A smaller limit applies at once. A larger
+// one does too, because the parts of all hosts are the same fractions of it;
+// only a larger fraction has to wait until the others have given it up.
+func (s *Service) setTable(t *cove.Table) {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = t
+	s.applyParts(now)
+}
+
+// endQuarantine puts the parts in force once the loans of a former incarnation
+// at this address have ended.
+func (s *Service) endQuarantine(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.usableFrom.IsZero() || now.Before(s.usableFrom) {
+		return
+	}
+	s.usableFrom = time.Time{}
+	s.applyParts(now)
+}
+
+func (s *Service) emitParts() {
+	e := s.row.own(s.cfg.Self.ID, s.cfg.Self.Incarnation)
+	if e == nil {
+		return
+	}
+	s.cfg.Events.Emit("share.parts", "plan "+strconv.FormatUint(s.row.Plan, 10),
+		cove.Field{Name: "fraction", Value: strconv.FormatInt(s.row.Fraction, 10)},
+		cove.Field{Name: "reserve", Value: strconv.FormatInt(e.Grant.Reserve, 10)},
+		cove.Field{Name: "leased", Value: strconv.FormatInt(e.Grant.Leased, 10)})
+}
--- /dev/null
+++ b/internal/limit/share/borrow.go
@@ -0,0 +1,331 @@
+package share
+
+import (
+	"context"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/rate"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+const (
+	// horizon is how far ahead of running dry a host asks for quota. It covers
+	// a round trip in the own failure domain and one to another region.
+	horizon = 300 * time.Millisecond
+	// wantPercent is the rate that a host asks for, relative to its demand.
+	wantPercent = 120
+	// giveBackPercent is the rate above which a host gives loans back.
+	giveBackPercent = 150
+	// askEvery is the time between rounds of asking for a team.
+	askEvery = 50 * time.Millisecond
+	// refusedFor is how long a host that lent too little is not asked again.
+	refusedFor = 200 * time.Millisecond
+	// silentFor is how long a host that did not answer is not asked again.
+	silentFor = time.Second
+	// extendAhead is the rest of a loan at which its extension is requested.
+	extendAhead = 800 * time.Millisecond
+	// maxAsked bounds the hosts that are asked in one round.
+	maxAsked = 8
+	// maxLenders bounds the hosts that lend to this one, and so the messages
+	// that extend loans, independently of the size of the fleet.
+	maxLenders = 16
+	// callRate and callBurst bound the requests for loans per second.
+	callRate  = 16
+	callBurst = 32
+)
+
+// asks is the state of a team's requests for loans.
+type asks struct {
+	next time.Time
+	// emptyUntil is set when no host is left to ask, so that waiting requests
+	// can be refused at once.
+	emptyUntil time.Time
+	// held holds hosts that are not to be asked before a time.
+	held map[cove.HostID]time.Time
+}
+
+// call is a request to one lender for all teams.
+type call struct {
+	to   cove.HostID
+	sent time.Time
+	req  *peerpb.ShareBorrowRequest
+	done bool
+}
+
+// calls collects the requests of one round.
+type calls struct {
+	s       *Service
+	now     time.Time
+	byHost  map[cove.HostID]*call
+	lenders map[cove.HostID]bool
+}
+
+// planCalls returns the requests that are due. Quota that is given back leaves
+// the buckets here, before the request is sent.
+func (s *Service) planCalls(now time.Time) []*call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &calls{s: s, now: now}
+	teams := *s.teams.Load()
+	for _, t := range teams {
+		c.extend(t)
+	}
+	for _, t := range teams {
+		c.ask(t)
+	}
+	out := make([]*call, 0, len(c.byHost))
+	for _, x := range c.byHost {
+		out = append(out, x)
+	}
+	return out
+}
+
+// to returns the request to a host, or nil when the budget is used up.
+func (c *calls) to(id cove.HostID) *call {
+	if x, ok := c.byHost[id]; ok {
+		return x
+	}
+	if !c.s.budget.Take(c.now, rate.Unit) {
+		c.s.cfg.Counters.Add("loan.overBudget", 1)
+		return nil
+	}
+	x := &call{to: id, sent: c.now, req: &peerpb.ShareBorrowRequest{
+		Protocol:    protocol,
+		Host:        string(c.s.cfg.Self.ID),
+		Incarnation: c.s.cfg.Self.Incarnation[:],
+	}}
+	if c.byHost == nil {
+		c.byHost = make(map[cove.HostID]*call)
+	}
+	c.byHost[id] = x
+	return x
+}
+
+// extend asks for extensions of the loans that are still needed, and gives
+// back what is not.
+func (c *calls) extend(t *team) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.in) == 0 {
+		return
+	}
+	t.advance(c.now)
+	excess := t.bucket.Quota().Rate - t.demand.Scale(giveBackPercent, 100)
+	if c.s.stopping.Load() || !t.known {
+		excess = rate.Max
+	}
+	for i := len(t.in) - 1; i >= 0; i-- {
+		l := &t.in[i]
+		c.addLender(l.lender)
+		if l.quota.Rate > 0 && excess >= l.quota.Rate/2 || excess == rate.Max {
+			if x := c.to(l.lender); x != nil {
+				excess -= min(excess, l.quota.Rate)
+				x.req.Gives = append(x.req.Gives, t.give(c.now, i, rate.Max))
+			}
+			continue
+		}
+		if l.renewing || l.until.Sub(c.now) > extendAhead || !t.needs(l.quota) {
+			continue
+		}
+		if x := c.to(l.lender); x != nil {
+			l.renewing = true
+			x.req.Extends = append(x.req.Extends, &peerpb.ShareExtend{Team: string(t.name), Loan: l.id})
+		}
+	}
+}
+
+func (c *calls) addLender(id cove.HostID) {
+	if c.lenders == nil {
+		c.lenders = make(map[cove.HostID]bool)
+	}
+	c.lenders[id] = true
+}
+
+// needs reports whether the team would run short without this quota.
+func (t *team) needs(q rate.Quota) bool {
+	if t.demand < rate.Unit/10 && t.waiting == 0 {
+		return false
+	}
+	return t.bucket.Quota().Rate-q.Rate < t.demand.Scale(giveBackPercent, 100) || q.Rate == 0
+}
+
+// give takes at most limit of the rate of a loan out of the bucket, with the
+// same part of its burst and of the tokens, and returns the message for it.
+func (t *team) give(now time.Time, i int, limit rate.Amount) *peerpb.ShareGive {
+	l := &t.in[i]
+	q := l.quota
+	if limit < q.Rate {
+		q = q.Scale(int64(limit), int64(q.Rate))
+	}
+	burst := t.bucket.Quota().Burst
+	tokens := t.bucket.Remove(t.bucket.Level().Scale(int64(q.Burst), int64(max(1, burst))))
+	tokens = min(tokens, q.Burst)
+	l.gave++
+	g := &peerpb.ShareGive{
+		Team:     string(t.name),
+		Loan:     l.id,
+		Rate:     int64(q.Rate),
+		Burst:    int64(q.Burst),
+		Tokens:   int64(tokens),
+		Sequence: l.gave,
+	}
+	l.quota = l.quota.Minus(q)
+	if l.quota == (rate.Quota{}) {
+		t.in = append(t.in[:i], t.in[i+1:]...)
+	}
+	t.apply(now)
+	return g
+}
+
+// giveBack gives loans back to their lender, which asks for quota itself, as
+// far as the own demand does not need them.
+func (s *Service) giveBack(t *team, lender cove.HostID) []*peerpb.ShareGive {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	t.advance(now)
+	excess := t.bucket.Quota().Rate - t.demand.Scale(keepDemandPercent, 100)
+	var out []*peerpb.ShareGive
+	for i := len(t.in) - 1; i >= 0 && excess > 0; i-- {
+		if t.in[i].lender != lender || t.in[i].quota.Rate == 0 {
+			continue
+		}
+		n := min(excess, t.in[i].quota.Rate)
+		out = append(out, t.give(now, i, n))
+		excess -= n
+		s.cfg.Counters.Add("loan.recalled", 1)
+	}
+	return out
+}
+
+// ask asks for quota before the bucket runs dry.
+func (c *calls) ask(t *team) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.s.stopping.Load() || !t.known || c.now.Before(t.asks.next) {
+		return
+	}
+	t.advance(c.now)
+	need, tokens := t.shortage()
+	if need == (rate.Quota{}) {
+		return
+	}
+	t.asks.next = c.now.Add(askEvery)
+	hosts := c.candidates(t)
+	if len(hosts) == 0 {
+		t.asks.emptyUntil = t.asks.next
+		t.wake()
+		return
+	}
+	n := int64(len(hosts))
+	part := need
+	if n > 1 {
+		// The hosts have different amounts to lend, so each is asked for more.
+		part = need.Scale(5, 4*n)
+		tokens = tokens.Scale(5, 4*n)
+	}
+	part.Burst = max(part.Burst, 1)
+	for _, id := range hosts {
+		x := c.to(id)
+		if x == nil {
+			return
+		}
+		c.s.loanSeq++
+		x.req.Asks = append(x.req.Asks, &peerpb.ShareAsk{
+			Team:   string(t.name),
+			Loan:   c.s.loanSeq,
+			Rate:   int64(part.Rate),
+			Burst:  int64(part.Burst),
+			Tokens: int64(tokens),
+		})
+		t.asks.hold(id, c.now.Add(askEvery))
+	}
+}
+
+// shortage returns the quota and the tokens that the team lacks, if it would
+// run dry within the horizon.
+func (t *team) shortage() (rate.Quota, rate.Amount) {
+	have := t.bucket.Quota()
+	ahead := t.demand.Scale(int64(horizon), int64(time.Second)) + t.short
+	earned := have.Rate.Scale(int64(horizon), int64(time.Second))
+	level := t.bucket.Level()
+	if level+earned >= ahead+t.short {
+		return rate.Quota{}, 0
+	}
+	tokens := max(0, ahead-level)
+	need := rate.Quota{Rate: max(0, t.demand.Scale(wantPercent, 100)-have.Rate)}
+	need.Burst = max(tokens, t.limit.Burst.Scale(int64(need.Rate), int64(max(1, t.limit.Rate))))
+	if need.Rate == 0 && t.waiting == 0 {
+		return rate.Quota{}, 0
+	}
+	return need, tokens
+}
+
+// candidates returns the hosts to ask next, those of the own failure domain
+// first.
+func (c *calls) candidates(t *team) []cove.HostID {
+	t.asks.release(c.now)
+	var out []cove.HostID
+	for _, id := range c.s.order.near {
+		if len(out) < maxAsked && c.mayAsk(t, id) {
+			out = append(out, id)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, id := range c.s.order.far {
+		if len(out) == maxAsked {
+			break
+		}
+		if c.mayAsk(t, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (c *calls) mayAsk(t *team, id cove.HostID) bool {
+	if _, held := t.asks.held[id]; held {
+		return false
+	}
+	return len(c.lenders) < maxLenders || c.lenders[id]
+}
+
+func (a *asks) hold(id cove.HostID, until time.Time) {
+	if a.held == nil {
+		a.held = make(map[cove.HostID]time.Time)
+	}
+	if until.After(a.held[id]) {
+		a.held[id] = until
+	}
+}
+
+func (a *asks) release(now time.Time) {
+	for id, until := range a.held {
+		if !now.Before(until) {
+			delete(a.held, id)
+		}
+	}
+}
+
+// call sends a request and applies the answer.
+func (s *Service) call(ctx context.Context, c *call) {
+	client, err := s.dial(c.to)
+	if err != nil {
+		s.finishCall(c, nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	resp, err := client.Borrow(ctx, c.req)
+	if err != nil {
+		resp = nil
+	}
+	s.finishCall(c, resp)
+	select {
+	case s.nudge <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/limit/share/renew.go
@@ -0,0 +1,277 @@
+package share
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+const (
+	protocol = 1
+	// renewEvery is the time between renewals of a host.
+	renewEvery = 1500 * time.Millisecond
+	// outageRenewEvery is the time between renewals while the store is down.
+	// A promise needs up to three of them, which must fit well into a lease.
+	outageRenewEvery = 750 * time.Millisecond
+	// storeSilence is how long the store may be silent before the host that
+	// renews asks for promises.
+	storeSilence = 2 * time.Second
+	// leaseLow is the rest of a lease at which a host renews the row itself.
+	leaseLow = 2 * time.Second
+)
+
+var errPaused = errors.New("host was paused and has not checked its lease")
+
+// report is the newest renewal that a host has sent to this one.
+type report struct {
+	inc       cove.Incarnation
+	renewal   uint64
+	plan      uint64
+	confirmed uint64
+	promises  map[owner]uint64
+}
+
+// renewStep sends a renewal when it is due.
+func (s *Service) renewStep(ctx context.Context) {
+	now := s.cfg.Clock.Now()
+	to, req := s.planRenewal(now)
+	if req == nil {
+		return
+	}
+	if to == s.cfg.Self.ID {
+		s.finishRenewal(now, req, s.acceptRenewal(now, to, req))
+		return
+	}
+	resp, err := s.sendRenewal(ctx, to, req)
+	if err != nil {
+		s.cfg.Counters.Add("share.renewFailed", 1)
+		return
+	}
+	s.finishRenewal(now, req, resp)
+}
+
+func (s *Service) sendRenewal(ctx context.Context, to cove.HostID, req *peerpb.ShareRenewRequest) (*peerpb.ShareRenewResponse, error) {
+	c, err := s.dial(to)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return c.Renew(ctx, req)
+}
+
+// planRenewal returns the renewal that is due, if any, and the host that
+// renews the row.
+func (s *Service) planRenewal(now time.Time) (cove.HostID, *peerpb.ShareRenewRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.renewDue) || s.replaced || s.stopping.Load() {
+		return "", nil
+	}
+	s.renewDue = now.Add(renewEvery)
+	if len(s.renewals) > 0 {
+		s.renewDue = now.Add(outageRenewEvery)
+	}
+	s.confirmPlan()
+	req := &peerpb.ShareRenewRequest{
+		Protocol:    protocol,
+		Host:        string(s.cfg.Self.ID),
+		Incarnation: s.cfg.Self.Incarnation[:],
+		Renewal:     s.lease.next(now),
+		Plan:        s.row.Plan,
+		Confirmed:   s.confirmed,
+		Promises:    s.promise(now, s.renewals),
+	}
+	s.renewals = nil
+	return s.renewer(), req
+}
+
+// confirmPlan confirms the applied plan once what the host has lent out of
+// earlier, larger parts has ended.
+func (s *Service) confirmPlan() {
+	if s.confirmed == s.row.Plan {
+		return
+	}
+	for _, t := range *s.teams.Load() {
+		if !t.fits() {
+			return
+		}
+	}
+	s.confirmed = s.row.Plan
+}
+
+// promise promises to take over nothing from these hosts for a lease. It
+// promises nothing while a take-over of its own may take effect.
+func (s *Service) promise(now time.Time, renewals []*peerpb.SharePromise) []*peerpb.SharePromise {
+	if s.taking || s.open != nil {
+		return nil
+	}
+	for _, p := range renewals {
+		inc, err := decodeIncarnation(p.GetIncarnation())
+		if err != nil {
+			return nil
+		}
+		s.promised[owner{cove.HostID(p.GetHost()), inc}] = now.Add(others(leaseTime))
+	}
+	return renewals
+}
+
+// renewer returns the registered host that renews the row: the lowest live one.
+func (s *Service) renewer() cove.HostID {
+	for i := range s.row.Hosts {
+		e := &s.row.Hosts[i]
+		if e.ID == s.cfg.Self.ID || s.order.live[e.ID] {
+			return e.ID
+		}
+	}
+	return s.cfg.Self.ID
+}
+
+// Renew implements peerpb.ShareServiceHandler.
+func (s *Service) Renew(ctx context.Context, req *peerpb.ShareRenewRequest) (*peerpb.ShareRenewResponse, error) {
+	from, ok := cove.PeerFrom(ctx)
+	if !ok || string(from) != req.GetHost() {
+		return nil, connect.NewError(connect.CodePermissionDenied, errors.New("sender is not the named host"))
+	}
+	now := s.cfg.Clock.Now()
+	if s.checkPause(now) || s.stopping.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, errPaused)
+	}
+	resp := s.acceptRenewal(now, from, req)
+	if resp == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errIncarnation)
+	}
+	return resp, nil
+}
+
+func (s *Service) acceptRenewal(now time.Time, from cove.HostID, req *peerpb.ShareRenewRequest) *peerpb.ShareRenewResponse {
+	inc, err := decodeIncarnation(req.GetIncarnation())
+	if err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record(from, inc, req)
+	resp := &peerpb.ShareRenewResponse{Plan: s.row.Plan}
+	e := s.row.own(from, inc)
+	if e != nil {
+		resp.Committed = e.Renewal
+		resp.Covered = s.covered(now, e, req.GetPlan())
+	}
+	if req.GetPlan() != s.row.Plan {
+		b, err := s.row.encode()
+		if err != nil {
+			s.cfg.Counters.Add("share.badRow", 1)
+			return nil
+		}
+		resp.Row = b
+	}
+	if now.Sub(s.stored) > storeSilence {
+		resp.Renewals = s.openRenewals(from)
+	}
+	return resp
+}
+
+func (s *Service) record(from cove.HostID, inc cove.Incarnation, req *peerpb.ShareRenewRequest) {
+	old, ok := s.reports[from]
+	if ok && old.inc == inc && old.renewal >= req.GetRenewal() {
+		return
+	}
+	rep := report{
+		inc:       inc,
+		renewal:   req.GetRenewal(),
+		plan:      req.GetPlan(),
+		confirmed: req.GetConfirmed(),
+	}
+	for _, p := range req.GetPromises() {
+		pinc, err := decodeIncarnation(p.GetIncarnation())
+		if err != nil {
+			continue
+		}
+		if rep.promises == nil {
+			rep.promises = make(map[owner]uint64, len(req.GetPromises()))
+		}
+		rep.promises[owner{cove.HostID(p.GetHost()), pinc}] = p.GetRenewal()
+	}
+	s.reports[from] = rep
+}
+
+// covered returns the newest renewal of a host for which all other registered
+// hosts have promised, under the plan that all of them have applied.
+func (s *Service) covered(now time.Time, e *entry, plan uint64) uint64 {
+	if plan != s.row.Plan || s.row.own(s.cfg.Self.ID, s.cfg.Self.Incarnation) == nil {
+		return 0
+	}
+	k := owner{e.ID, e.Incarnation}
+	n := s.reports[e.ID].renewal
+	for i := range s.row.Hosts {
+		o := &s.row.Hosts[i]
+		if o.ID == e.ID || o.ID == s.cfg.Self.ID {
+			continue
+		}
+		rep, ok := s.reports[o.ID]
+		if !ok || rep.inc != o.Incarnation || rep.plan != plan {
+			return 0
+		}
+		n = min(n, rep.promises[k])
+	}
+	if n == 0 || e.ID == s.cfg.Self.ID {
+		return n
+	}
+	if s.taking || s.open != nil {
+		return 0
+	}
+	s.promised[k] = now.Add(others(leaseTime))
+	return n
+}
+
+// openRenewals lists the renewals of the other hosts that the asking host is
+// to promise.
+func (s *Service) openRenewals(from cove.HostID) []*peerpb.SharePromise {
+	var out []*peerpb.SharePromise
+	for i := range s.row.Hosts {
+		e := &s.row.Hosts[i]
+		rep, ok := s.reports[e.ID]
+		if e.ID == from || !ok || rep.inc != e.Incarnation {
+			continue
+		}
+		out = append(out, &peerpb.SharePromise{
+			Host:        string(e.ID),
+			Incarnation: e.Incarnation[:],
+			Renewal:     rep.renewal,
+		})
+	}
+	return out
+}
+
+// finishRenewal applies the answer to a renewal that was sent at a time.
+func (s *Service) finishRenewal(sent time.Time, req *peerpb.ShareRenewRequest, resp *peerpb.ShareRenewResponse) {
+	if resp == nil {
+		return
+	}
+	defer s.notify()
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(resp.GetRow()) > 0 {
+		r, err := decodeRow(resp.GetRow())
+		if err != nil {
+			s.cfg.Counters.Add("share.badRow", 1)
+			return
+		}
+		s.applyRow(now, r)
+	}
+	s.renewals = resp.GetRenewals()
+	if resp.GetPlan() != s.row.Plan || !s.registered {
+		return
+	}
+	if cove.HostID(req.GetHost()) == s.cfg.Self.ID && s.renewer() != s.cfg.Self.ID {
+		s.checked(sent)
+	}
+	s.extendLease(now, resp.GetCommitted(), resp.GetCovered())
+}
--- /dev/null
+++ b/internal/limit/share/take.go
@@ -0,0 +1,167 @@
+package share
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/rate"
+)
+
+const (
+	// maxWait is how long a request waits for borrowed quota.
+	maxWait = 50 * time.Millisecond
+	// maxWaiting bounds the requests of a team that wait.
+	maxWaiting = 256
+	// minRetryAfter is the shortest advice to a refused caller.
+	minRetryAfter = 100 * time.Millisecond
+	// maxRetryAfter is the longest.
+	maxRetryAfter = 10 * time.Second
+)
+
+// Take implements cove.Limiter. It makes no call when there are tokens.
+func (s *Service) Take(ctx context.Context, name cove.Team, cost float64) error {
+	now := s.cfg.Clock.Now()
+	if r := s.usable(now); r != nil {
+		return r
+	}
+	t := (*s.teams.Load())[name]
+	if t == nil {
+		return s.refuse(http.StatusForbidden, cove.ReasonRate, "unknown team", 0)
+	}
+	amount := rate.Cost(cost)
+	ok, known := t.take(now, amount)
+	switch {
+	case ok:
+		return nil
+	case !known:
+		return s.refuse(http.StatusForbidden, cove.ReasonRate, "unknown team", 0)
+	}
+	return s.wait(ctx, t, amount)
+}
+
+// usable refuses requests while the process stops, and after a pause longer
+// than its lease until it has checked that it is still registered.
+func (s *Service) usable(now time.Time) error {
+	if s.stopping.Load() {
+		return s.refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host is stopping", minRetryAfter)
+	}
+	last := time.Duration(s.lastTick.Load())
+	if s.since(now)-last <= leaseTime && !s.paused.Load() {
+		return nil
+	}
+	s.checkPause(now)
+	return s.refuse(http.StatusServiceUnavailable, cove.ReasonPaused, "host was paused", minRetryAfter)
+}
+
+func (s *Service) refuse(status int, reason cove.Reason, detail string, after time.Duration) error {
+	s.cfg.Counters.Add("limit_refusal."+string(reason), 1)
+	r := cove.Refuse(status, reason, detail)
+	r.RetryAfter = after
+	return r
+}
+
+// wait tries again when tokens arrive, for a short time.
+func (s *Service) wait(ctx context.Context, t *team, cost rate.Amount) error {
+	now := s.cfg.Clock.Now()
+	end := now.Add(maxWait)
+	if d, ok := ctx.Deadline(); ok && d.Before(end) {
+		end = d
+	}
+	if !t.enter(cost) {
+		return s.overRate(t, cost)
+	}
+	defer t.leave(cost)
+	s.wakeLoans()
+	for {
+		ok, changed, pause := t.again(s.cfg.Clock.Now(), end, cost)
+		if ok {
+			return nil
+		}
+		if pause <= 0 || s.sleep(ctx, changed, pause) != nil {
+			return s.overRate(t, cost)
+		}
+		if r := s.usable(s.cfg.Clock.Now()); r != nil {
+			return r
+		}
+	}
+}
+
+func (s *Service) wakeLoans() {
+	select {
+	case s.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits for a change of the bucket, for the pause, or for ctx.
+func (s *Service) sleep(ctx context.Context, changed <-chan struct{}, pause time.Duration) error {
+	timer := s.cfg.Clock.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-timer.C():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Service) overRate(t *team, cost rate.Amount) error {
+	s.cfg.Counters.Add("share.overRate", 1)
+	return s.refuse(http.StatusTooManyRequests, cove.ReasonRate, "team is over its rate", t.retryAfter(cost))
+}
+
+// enter counts a waiting request, unless too many wait.
+func (t *team) enter(cost rate.Amount) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.waiting >= maxWaiting {
+		return false
+	}
+	t.waiting++
+	t.short += cost
+	return true
+}
+
+func (t *team) leave(cost rate.Amount) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting--
+	t.short -= cost
+}
+
+// again tries to charge cost. If it cannot, it returns what to wait for; the
+// pause is zero when waiting until the end cannot help.
+func (t *team) again(now, end time.Time, cost rate.Amount) (bool, <-chan struct{}, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.advance(now)
+	if t.known && t.bucket.Take(now, cost) {
+		return true, nil, 0
+	}
+	left := end.Sub(now)
+	if !t.known || left <= 0 {
+		return false, nil, 0
+	}
+	d, ok := t.bucket.Wait(cost)
+	if ok {
+		left = min(left, d)
+	}
+	if now.Before(t.asks.emptyUntil) && (!ok || d > left) {
+		return false, nil, 0
+	}
+	return false, t.changed, left
+}
+
+func (t *team) retryAfter(cost rate.Amount) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d, ok := t.bucket.Wait(cost)
+	if !ok {
+		d = time.Duration(cost.Scale(int64(time.Second), int64(max(1, t.limit.Rate))))
+	}
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/limit/share/write.go
@@ -0,0 +1,213 @@
+package share
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+)
+
+const (
+	// writeEvery is the time between writes of a domain's row.
+	writeEvery = 1500 * time.Millisecond
+	// fallbackEvery is the time between writes by a host that no other renews.
+	fallbackEvery = 3 * time.Second
+	// writeAttempts bounds the attempts of a write that meets conflicts.
+	writeAttempts = 3
+)
+
+// storeStep registers the host, or renews the row if that is this host's role,
+// when it is due.
+func (s *Service) storeStep(ctx context.Context) {
+	now := s.cfg.Clock.Now()
+	if !s.writeIsDue(now) {
+		return
+	}
+	if err := s.write(ctx, s.renewRow); err != nil {
+		s.cfg.Counters.Add("share.writeFailed", 1)
+		return
+	}
+	s.settleFraction(ctx)
+}
+
+func (s *Service) writeIsDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.writeDue) || s.replaced || s.stopping.Load() {
+		return false
+	}
+	switch {
+	case !s.registered, s.renewer() == s.cfg.Self.ID, s.paused.Load():
+		s.writeDue = now.Add(writeEvery)
+		return true
+	case s.lease.end.Sub(now) < leaseLow:
+		s.writeDue = now.Add(fallbackEvery)
+		return true
+	}
+	return false
+}
+
+// change is a change of a row. It returns the rows whose revision it depends
+// on, and false to write nothing.
+type change func(now time.Time, r *row) ([]cove.Write, bool)
+
+// write applies a change to the row of the own failure domain.
+func (s *Service) write(ctx context.Context, fn change) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	for range writeAttempts {
+		err := s.tryWrite(ctx, fn)
+		if !errors.Is(err, cove.ErrConflict) {
+			return err
+		}
+		s.cfg.Counters.Add("share.writeConflict", 1)
+	}
+	return cove.ErrConflict
+}
+
+func (s *Service) tryWrite(ctx context.Context, fn change) error {
+	defer s.notify()
+	sent := s.cfg.Clock.Now()
+	r, revision, err := s.read(ctx, sent)
+	if err != nil {
+		return err
+	}
+	next, writes, err := s.prepare(r, revision, fn)
+	if err != nil || next == nil {
+		return err
+	}
+	err = s.cfg.Store.Commit(ctx, s.nextToken(), writes)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taking = false
+	if err == nil {
+		s.stored = s.cfg.Clock.Now()
+		s.applyRow(s.stored, next)
+		return nil
+	}
+	if !errors.Is(err, cove.ErrConflict) {
+		s.open = &openCommit{base: revision}
+	}
+	return errors.Wrap(err, "write row of failure domain")
+}
+
+// read gets the row from the store. It settles a commit whose result was open:
+// once the row has another revision than the commit requires, the commit has
+// taken effect or never will.
+func (s *Service) read(ctx context.Context, sent time.Time) (*row, uint64, error) {
+	got, err := s.cfg.Store.Get(ctx, rowKey(s.cfg.Self.Domain))
+	if err != nil && !errors.Is(err, cove.ErrNotFound) {
+		return nil, 0, errors.Wrap(err, "read row of failure domain")
+	}
+	r, err := decodeRow(got.Value)
+	if err != nil {
+		s.cfg.Counters.Add("share.badRow", 1)
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got.Revision < s.revision || r.Plan < s.row.Plan {
+		s.cfg.Counters.Add("share.olderRow", 1)
+		s.cfg.Events.Emit("store.older", "row of failure domain is older than one read before")
+		return nil, 0, errors.New("store returned an older row of the failure domain")
+	}
+	if s.open != nil && got.Revision != s.open.base {
+		s.open = nil
+	}
+	now := s.cfg.Clock.Now()
+	s.stored = now
+	s.revision = got.Revision
+	s.applyRow(now, r)
+	s.checked(sent)
+	return r, got.Revision, nil
+}
+
+// prepare builds the transaction. From here on until its result is known, the
+// host gives no promise if it takes the leased part of another.
+func (s *Service) prepare(r *row, revision uint64, fn change) (*row, []cove.Write, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := r.clone()
+	checks, ok := fn(s.cfg.Clock.Now(), next)
+	if !ok {
+		return nil, nil, nil
+	}
+	b, err := next.encode()
+	if err != nil {
+		return nil, nil, err
+	}
+	own := cove.Write{Key: rowKey(s.cfg.Self.Domain), IfRevision: revision, Value: b}
+	s.taking = true
+	return next, append([]cove.Write{own}, checks...), nil
+}
+
+func (s *Service) nextToken() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.token++
+	return s.cfg.Self.Incarnation.String() + "-share-" + strconv.FormatUint(s.token, 10)
+}
+
+// renewRow is the regular change of the row: it registers this host, renews
+// those that were heard, takes the leased part of those whose lease has ended,
+// and divides what is free.
+func (s *Service) renewRow(now time.Time, r *row) ([]cove.Write, bool) {
+	e := r.find(s.cfg.Self.ID)
+	if s.registered && (e == nil || e.Incarnation != s.cfg.Self.Incarnation) {
+		return nil, false
+	}
+	switch {
+	case e == nil:
+		r.join(s.cfg.Self, s.cfg.Peer)
+	case e.Removed:
+		if !s.purgeable(now, e) {
+			return nil, false
+		}
+		r.remove(e.ID)
+		return nil, true
+	case e.Incarnation != s.cfg.Self.Incarnation:
+		r.join(s.cfg.Self, s.cfg.Peer)
+		s.usableFrom = s.origin.Add(others(loanTime))
+	}
+	s.dropPromises(now)
+	s.renewHeard(r)
+	s.takeExpired(now, r)
+	r.settle()
+	return nil, true
+}
+
+func (s *Service) renewHeard(r *row) {
+	for i := range r.Hosts {
+		e := &r.Hosts[i]
+		rep, ok := s.reports[e.ID]
+		if !ok || rep.inc != e.Incarnation || rep.renewal <= e.Renewal {
+			continue
+		}
+		e.Renewal = rep.renewal
+		e.Confirmed = max(e.Confirmed, rep.confirmed)
+		if e.Lapsed {
+			e.Lapsed = false
+			r.Plan++
+		}
+	}
+}
+
+func (s *Service) takeExpired(now time.Time, r *row) {
+	for i := range r.Hosts {
+		e := &r.Hosts[i]
+		if !s.expired(now, r, e) {
+			continue
+		}
+		r.lapse(e)
+		s.cfg.Counters.Add("share.taken", 1)
+		s.cfg.Events.Emit("share.taken", "lease expired", cove.Field{Name: "host", Value: string(e.ID)})
+	}
+	for i := len(r.Hosts) - 1; i >= 0; i-- {
+		if s.purgeable(now, &r.Hosts[i]) {
+			r.remove(r.Hosts[i].ID)
+		}
+	}
+}
