Add the request path, route matching and the retry budget

Callers' requests pass match, key, limit, claim, choice, attempt and answer in internal/route/proxy. Connections to backend servers are HTTP/1.1 connections of this package, so that it is known exactly whether a byte was written and when a connection last answered.

--- /dev/null
+++ b/internal/route/proxy/attempt.go
@@ -0,0 +1,291 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+)
+
+// maxChoices bounds how often a target is chosen for one request while nothing
+// has run, whatever the route's retry policy says.
+const maxChoices = 3
+
+// failure is an attempt without an answer for the caller.
+type failure struct {
+	refusal *cove.Refusal
+	// retry is empty when another attempt cannot help.
+	retry cove.RetryReason
+	// free marks a failure that put no load on a backend server, so that
+	// another choice does not count against the retry budget.
+	free bool
+	// avoid is a target that the next attempt leaves out.
+	avoid *cove.Target
+}
+
+// leg carries one attempt to its target.
+type leg interface {
+	// send writes the request. An error with wrote() false proves that nothing
+	// ran.
+	send() error
+	wrote() bool
+	// head waits for the header of the answer. It returns errNoByte when none
+	// of it came in time and may then be called again; 0 waits without limit.
+	head(wait time.Duration) (*http.Response, error)
+	// finish ends the attempt. The connection can be used again when the
+	// exchange is complete.
+	finish(complete bool)
+	// abort interrupts the other methods. It may be called at any time before
+	// finish returns.
+	abort()
+}
+
+// try is one attempt with its permit.
+type try struct {
+	p      *Proxy
+	x      *exchange
+	ctx    context.Context
+	permit cove.Permit
+	target cove.Target
+	leg    leg
+	begun  time.Time
+	// lost is set when another attempt has won.
+	lost atomic.Bool
+}
+
+// run makes attempts until one gives an answer.
+func (p *Proxy) run(x *exchange) (*answer, error) {
+	for {
+		a, f := p.attempt(x)
+		if f == nil && a.weak && p.again(x, a.weakness()) {
+			x.mayHaveRun.Store(true)
+			a.end(nil)
+			continue
+		}
+		if f == nil {
+			return a, nil
+		}
+		if !p.again(x, f) {
+			return nil, f.refusal
+		}
+	}
+}
+
+// again decides whether another attempt is allowed after f, and counts it.
+func (p *Proxy) again(x *exchange, f *failure) bool {
+	if f.retry == "" || x.single || x.ctx.Err() != nil || !x.body.replayable() {
+		return false
+	}
+	if f.refusal.Outcome == cove.NotRun {
+		if x.tries >= max(x.maxAttempts(), maxChoices) {
+			return false
+		}
+	} else if !x.idempotent() || x.tries >= x.maxAttempts() {
+		return false
+	}
+	if !f.free && !p.budget.Spend() {
+		return false
+	}
+	p.Counters.Add("retry."+string(f.retry), 1)
+	if f.avoid != nil {
+		x.avoid(*f.avoid)
+	}
+	return true
+}
+
+// attempt makes one attempt, and a second one beside it when the first stays
+// without answer and the route allows it.
+func (p *Proxy) attempt(x *exchange) (*answer, *failure) {
+	x.tries++
+	t, f := p.open(x.ctx, x, x.tries > 1)
+	if f != nil {
+		return nil, f
+	}
+	wait, reason := p.patience(x)
+	resp, err := t.leg.head(wait)
+	if errors.Is(err, errNoByte) {
+		return p.race(x, t, reason)
+	}
+	return t.judge(resp, err)
+}
+
+// open chooses a target and sends the request there.
+func (p *Proxy) open(ctx context.Context, x *exchange, fresh bool) (*try, *failure) {
+	permit, err := p.Admitter.Admit(ctx, x.pools, x.work, x.exclude)
+	if err != nil {
+		return nil, &failure{refusal: admitRefusal(err)}
+	}
+	t := &try{p: p, x: x, ctx: ctx, permit: permit, target: permit.Target(), begun: p.Clock.Now()}
+	if f := t.start(fresh); f != nil {
+		return nil, f
+	}
+	return t, nil
+}
+
+func admitRefusal(err error) *cove.Refusal {
+	var r *cove.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return cove.Refuse(http.StatusServiceUnavailable, cove.ReasonDeadline, "no slot before the deadline")
+}
+
+func (t *try) start(fresh bool) *failure {
+	if err := t.connect(fresh); err != nil {
+		return t.connectFailed(err)
+	}
+	// The key may have been withdrawn while the request waited.
+	if ref := t.p.recheck(t.x); ref != nil {
+		t.leg.finish(false)
+		t.done(cove.Result{Canceled: true})
+		return &failure{refusal: ref}
+	}
+	t.permit.Sent()
+	if err := t.leg.send(); err != nil && !t.leg.wrote() {
+		t.leg.finish(false)
+		return t.connectFailed(err)
+	}
+	return nil
+}
+
+func (t *try) connect(fresh bool) error {
+	if t.target.Host != "" {
+		var err error
+		t.leg, err = t.p.newHop(t)
+		return err
+	}
+	maxAge := idleTime
+	if fresh {
+		maxAge = 0
+	} else if !t.x.idempotent() {
+		maxAge = liveProof
+	}
+	c, err := t.p.pool.get(t.ctx, t.target.Addr, maxAge)
+	if err != nil {
+		return err
+	}
+	t.leg = newDirectLeg(t, c)
+	return nil
+}
+
+func (p *Proxy) recheck(x *exchange) *cove.Refusal {
+	if !x.keyed {
+		return nil
+	}
+	if !p.Keys.Valid(x.principal) {
+		return errRevoked
+	}
+	if x.route.StaleKeys != staleServe && !p.Keys.Fresh() {
+		return errStale
+	}
+	return nil
+}
+
+func (t *try) connectFailed(err error) *failure {
+	if t.ctx.Err() != nil {
+		t.done(cove.Result{Canceled: true})
+		return &failure{refusal: cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "deadline passed before the request was sent")}
+	}
+	t.done(cove.Result{Err: err})
+	reason := cove.ReasonServerFailed
+	if t.target.Host != "" {
+		reason = cove.ReasonPeer
+	}
+	return &failure{
+		refusal: cove.Refuse(http.StatusServiceUnavailable, reason, "target cannot be reached"),
+		retry:   cove.RetryConnect,
+		free:    t.target.Host != "",
+		avoid:   &t.target,
+	}
+}
+
+// avoid excludes a target from later attempts.
+func (x *exchange) avoid(t cove.Target) {
+	if t.Server != "" {
+		x.exclude.Servers = append(x.exclude.Servers, t.Server)
+		return
+	}
+	x.exclude.Domains = append(x.exclude.Domains, t.Domain)
+}
+
+func (t *try) done(res cove.Result) {
+	if res.Latency == 0 {
+		res.Latency = t.p.Clock.Now().Sub(t.begun)
+	}
+	t.permit.Done(res)
+}
+
+// judge turns what came of an attempt into an answer or a failure.
+func (t *try) judge(resp *http.Response, err error) (*answer, *failure) {
+	if err != nil {
+		return nil, t.headFailed(err)
+	}
+	if echo := resp.Header[headerRequestID]; len(echo) > 0 && echo[0] != t.x.id {
+		return nil, t.crossed()
+	}
+	a := newAnswer(t, resp)
+	if err := a.readShort(); err != nil {
+		return nil, t.broken(err)
+	}
+	if resp.Header[headerNotRun] != nil && resp.StatusCode == http.StatusServiceUnavailable {
+		return nil, a.shed()
+	}
+	t.x.state.latency.Observe(t.p.Clock.Now(), a.latency)
+	return a, nil
+}
+
+// headFailed classifies an attempt that ended without a header.
+func (t *try) headFailed(err error) *failure {
+	var hr *hopRefusal
+	if errors.As(err, &hr) {
+		return t.refusedByPeer(hr.refusal)
+	}
+	if t.x.body.tooLarge() {
+		t.giveUp(cove.Result{Canceled: true})
+		return &failure{refusal: unknown(errBody.Status, errBody.Reason, errBody.Detail)}
+	}
+	if t.lost.Load() || errors.Is(t.ctx.Err(), context.Canceled) {
+		t.giveUp(cove.Result{Canceled: true})
+		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerFailed, "canceled")}
+	}
+	if t.ctx.Err() != nil {
+		t.giveUp(cove.Result{Silent: true, Err: err})
+		return &failure{refusal: unknown(http.StatusGatewayTimeout, cove.ReasonServerSilent, "no answer before the deadline")}
+	}
+	return t.broken(err)
+}
+
+func (t *try) broken(err error) *failure {
+	t.giveUp(cove.Result{Err: err})
+	reason := cove.ReasonServerFailed
+	if t.target.Host != "" {
+		reason = cove.ReasonPeer
+	}
+	return &failure{
+		refusal: unknown(http.StatusBadGateway, reason, "connection broke before the answer was complete"),
+		retry:   cove.RetryBroken,
+		avoid:   &t.target,
+	}
+}
+
+var errCrossed = errors.New("answer belongs to another request")
+
+func (t *try) crossed() *failure {
+	t.giveUp(cove.Result{Err: errCrossed})
+	return &failure{
+		refusal: unknown(http.StatusBadGateway, cove.ReasonCrossedAnswer, "backend server answered another request"),
+		retry:   cove.RetryCrossed,
+		avoid:   &t.target,
+	}
+}
+
+// giveUp ends an attempt that may have run.
+func (t *try) giveUp(res cove.Result) {
+	t.x.mayHaveRun.Store(true)
+	t.leg.finish(false)
+	t.done(res)
+}
--- /dev/null
+++ b/internal/route/proxy/conn.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxAnswerHeader bounds the header of an answer.
+	maxAnswerHeader = 64 << 10
+	connBuffer      = 4 << 10
+	// dialTimeout bounds the time to open a connection, which takes about 1 ms
+	// when the backend server is up.
+	dialTimeout = time.Second
+	// userTimeout ends a connection whose data stays unacknowledged.
+	userTimeout = 5 * time.Second
+	// keepAlive is the interval of probes on idle connections.
+	keepAlive      = 2 * time.Second
+	keepAliveCount = 2
+)
+
+var (
+	// errNoByte means that no byte of the answer came in the time given.
+	errNoByte       = errors.New("no answer yet")
+	errAnswerHeader = errors.New("header of the answer is too large")
+	errSwitching    = errors.New("unexpected protocol switch")
+)
+
+// conn is a connection to a backend server that carries one exchange at a time.
+type conn struct {
+	nc   net.Conn
+	raw  syscall.RawConn
+	br   *bufio.Reader
+	bw   *bufio.Writer
+	addr netip.AddrPort
+	// answered is when the last exchange ended well.
+	answered time.Time
+	// headLeft is how many bytes the header of the answer may still have.
+	headLeft int64
+	// wrote is set when a byte of the current request was handed to the kernel.
+	wrote bool
+}
+
+var dialer = net.Dialer{
+	Timeout: dialTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
+	},
+	Control: setUserTimeout,
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var serr error
+	err := c.Control(func(fd uintptr) {
+		serr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return serr
+}
+
+func dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	nc, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to backend server")
+	}
+	c := &conn{nc: nc, addr: addr}
+	c.br = bufio.NewReaderSize((*connReader)(c), connBuffer)
+	c.bw = bufio.NewWriterSize((*connWriter)(c), connBuffer)
+	if sc, ok := nc.(syscall.Conn); ok {
+		if c.raw, err = sc.SyscallConn(); err != nil {
+			c.raw = nil
+		}
+	}
+	return c, nil
+}
+
+// connReader reads from the connection and bounds the header.
+type connReader conn
+
+// Read implements io.Reader.
+func (r *connReader) Read(b []byte) (int, error) {
+	if r.headLeft <= 0 {
+		return 0, errAnswerHeader
+	}
+	if int64(len(b)) > r.headLeft {
+		b = b[:r.headLeft]
+	}
+	n, err := r.nc.Read(b)
+	r.headLeft -= int64(n)
+	return n, err
+}
+
+// connWriter records that bytes have left the process.
+type connWriter conn
+
+// Write implements io.Writer. A failed write may have sent a part.
+func (w *connWriter) Write(b []byte) (int, error) {
+	n, err := w.nc.Write(b)
+	if n > 0 || err == nil {
+		w.wrote = true
+	}
+	return n, err
+}
+
+// begin prepares the connection for the next exchange.
+func (c *conn) begin() {
+	c.wrote = false
+	c.headLeft = maxAnswerHeader
+}
+
+// waitByte waits for the first byte of the answer. Zero waits without limit.
+// After errNoByte it may be called again.
+func (c *conn) waitByte(wait time.Duration) error {
+	if wait > 0 {
+		if err := c.nc.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return err
+		}
+	}
+	_, err := c.br.Peek(1)
+	if wait > 0 {
+		if derr := c.nc.SetReadDeadline(time.Time{}); derr != nil && err == nil {
+			err = derr
+		}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errNoByte
+	}
+	return err
+}
+
+// readHead reads the header of the final answer. It calls proceed at a 100
+// Continue.
+func (c *conn) readHead(method string, proceed func()) (*http.Response, error) {
+	req := &http.Request{Method: method}
+	for {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitching
+		}
+		if resp.StatusCode >= 200 {
+			c.headLeft = math.MaxInt64
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusContinue {
+			proceed()
+		}
+	}
+}
+
+// quiet reports whether an idle connection is still open and no byte has
+// arrived on it. Bytes on an idle connection belong to no request.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	ok := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ok = rerr == unix.EAGAIN
+		return true
+	})
+	return err == nil && ok
+}
+
+func (c *conn) close() {
+	// The connection is given up; an error changes nothing.
+	_ = c.nc.Close()
+}
--- /dev/null
+++ b/internal/route/proxy/direct.go
@@ -0,0 +1,151 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// continueTimeout is how long a body waits for 100 Continue before it is sent
+// anyway (RFC 9110, section 10.1.1).
+const continueTimeout = time.Second
+
+// directLeg is an attempt on a connection to a backend server.
+type directLeg struct {
+	t *try
+	c *conn
+	// stop ends the watch of the context.
+	stop func() bool
+	resp *http.Response
+
+	// The rest is used by the goroutine that sends a streamed body.
+	proceed     chan struct{}
+	proceedOnce sync.Once
+	quit        chan struct{}
+	// owned is set by the first of the sender, which then may read the body,
+	// and finish, which then ends the sender.
+	owned   atomic.Bool
+	sent    chan struct{}
+	sendErr error
+}
+
+func newDirectLeg(t *try, c *conn) *directLeg {
+	l := &directLeg{t: t, c: c}
+	l.stop = context.AfterFunc(t.ctx, c.close)
+	return l
+}
+
+func (l *directLeg) wrote() bool { return l.c.wrote }
+
+func (l *directLeg) abort() { l.c.close() }
+
+func (l *directLeg) send() error {
+	x := l.t.x
+	l.c.begin()
+	if err := writeHead(l.c.bw, x, x.remaining(l.t.p.Clock.Now())); err != nil {
+		return err
+	}
+	r := x.body.reader()
+	if r == nil {
+		return l.c.bw.Flush()
+	}
+	if x.body.stream == nil {
+		return writeBody(l.c.bw, &x.body, r)
+	}
+	if err := l.c.bw.Flush(); err != nil {
+		return err
+	}
+	l.sendStream()
+	return nil
+}
+
+// sendStream sends the body while the answer is read.
+func (l *directLeg) sendStream() {
+	l.proceed = make(chan struct{})
+	l.quit = make(chan struct{})
+	l.sent = make(chan struct{})
+	l.t.p.tasks.Go(func(context.Context) error {
+		defer close(l.sent)
+		if !l.mayProceed() || !l.owned.CompareAndSwap(false, true) {
+			l.sendErr = context.Canceled
+			return nil
+		}
+		b := &l.t.x.body
+		if l.sendErr = writeBody(l.c.bw, b, b.stream); l.sendErr != nil {
+			// The backend server must not take a part for the whole.
+			l.c.close()
+		}
+		return nil
+	})
+}
+
+// mayProceed waits for the backend server to ask for the body.
+func (l *directLeg) mayProceed() bool {
+	if !l.t.x.body.expect {
+		return true
+	}
+	timer := l.t.p.Clock.NewTimer(continueTimeout)
+	defer timer.Stop()
+	select {
+	case <-l.proceed:
+		return true
+	case <-timer.C():
+		return true
+	case <-l.quit:
+		return false
+	}
+}
+
+func (l *directLeg) head(wait time.Duration) (*http.Response, error) {
+	if wait > 0 {
+		if err := l.c.waitByte(wait); err != nil {
+			return nil, err
+		}
+	}
+	resp, err := l.c.readHead(l.t.x.method, l.allowBody)
+	if err != nil {
+		return nil, err
+	}
+	l.resp = resp
+	return resp, nil
+}
+
+func (l *directLeg) allowBody() {
+	if l.proceed != nil {
+		l.proceedOnce.Do(func() { close(l.proceed) })
+	}
+}
+
+func (l *directLeg) finish(complete bool) {
+	alive := l.stop()
+	if l.sent != nil && !l.bodySent() {
+		complete = false
+	}
+	if complete && alive && l.reusable() {
+		l.t.p.pool.put(l.c)
+		return
+	}
+	l.c.close()
+}
+
+// bodySent ends the sending of the body and reports whether it was complete.
+func (l *directLeg) bodySent() bool {
+	select {
+	case <-l.sent:
+		return l.sendErr == nil
+	default:
+	}
+	close(l.quit)
+	l.c.close()
+	if !l.owned.CompareAndSwap(false, true) {
+		l.t.x.body.release()
+	}
+	<-l.sent
+	return false
+}
+
+func (l *directLeg) reusable() bool {
+	return l.resp != nil && !l.resp.Close && l.resp.ProtoAtLeast(1, 1) && l.c.br.Buffered() == 0
+}
--- /dev/null
+++ b/internal/route/proxy/exchange.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericcove.org/cove"
+)
+
+// exchange is one request of a caller, or of another entry host, on its way.
+type exchange struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	w      http.ResponseWriter
+	r      *http.Request
+	table  *compiled
+	route  *cove.Route
+	state  *routeState
+	// started is when the request arrived.
+	started  time.Time
+	deadline time.Time
+
+	// principal is set when the request carried a key; keyed tells so.
+	principal cove.Principal
+	keyed     bool
+
+	// callerID goes back to the caller, id goes to backend servers.
+	callerID string
+	id       string
+
+	method string
+	uri    string
+	host   string
+	fields []field
+	body   body
+	// scrub holds the caller's key, to keep it from the backend server.
+	scrub scrubber
+
+	pools   []cove.PoolWeight
+	work    cove.WorkClass
+	exclude cove.Exclude
+	// tries counts the attempts begun.
+	tries int
+	// mayHaveRun is set when an attempt ended without proof that nothing ran.
+	mayHaveRun atomic.Bool
+	// single marks a request of another host, which gets one attempt here.
+	single bool
+	// owned marks a keyed request that another host has sent to its owner.
+	owned bool
+	// peer marks a request that comes from another entry host.
+	peer bool
+}
+
+// end releases what the exchange holds.
+func (x *exchange) end() {
+	x.body.release()
+	if x.cancel != nil {
+		x.cancel()
+	}
+	if x.state != nil {
+		x.state.active.Add(-1)
+	}
+}
+
+// settle corrects the outcome of a final refusal: one attempt that may have run
+// makes the whole request uncertain.
+func (x *exchange) settle(r *cove.Refusal) *cove.Refusal {
+	if r.Outcome == cove.Unknown || !x.mayHaveRun.Load() {
+		return r
+	}
+	c := *r
+	c.Outcome = cove.Unknown
+	return &c
+}
+
+// remaining returns the time until the deadline.
+func (x *exchange) remaining(now time.Time) time.Duration {
+	return x.deadline.Sub(now)
+}
+
+// idempotent reports whether a second run does no harm.
+func (x *exchange) idempotent() bool { return x.route.Idempotent }
+
+// maxAttempts is the number of attempts that may reach a backend server.
+func (x *exchange) maxAttempts() int {
+	if x.single {
+		return 1
+	}
+	return max(x.route.Retry.Attempts, 1)
+}
+
+// callerAddr returns the address of the connection.
+func callerAddr(r *http.Request) netip.Addr {
+	ap, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr().Unmap().WithZone("")
+}
+
+// Lengths of the prefixes that stand for a client block.
+const (
+	blockBits4 = 24
+	blockBits6 = 48
+)
+
+// blockOf returns a stable hash of the client block of an address.
+func blockOf(addr netip.Addr) uint64 {
+	bits := blockBits4
+	if addr.Is6() {
+		bits = blockBits6
+	}
+	prefix, err := addr.Prefix(bits)
+	if err != nil {
+		return 0
+	}
+	b := prefix.Addr().As16()
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/route/proxy/hedge.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+const (
+	// silenceFactor times the p95 without a byte counts as silence.
+	silenceFactor = 4
+	minSilence    = 100 * time.Millisecond
+	// maxSilence keeps the detection of a silent connection below 1 s.
+	maxSilence = 900 * time.Millisecond
+)
+
+// patience returns how long an attempt may stay without a byte before a second
+// one is made beside it; 0 means that none is allowed.
+func (p *Proxy) patience(x *exchange) (time.Duration, cove.RetryReason) {
+	if !x.idempotent() || x.tries >= x.maxAttempts() || x.body.stream != nil {
+		return 0, ""
+	}
+	p95, known := x.state.latency.P95()
+	if !known {
+		return maxSilence, cove.RetrySilent
+	}
+	if x.route.Retry.Hedge {
+		return min(p95, maxSilence), cove.RetryHedge
+	}
+	return min(max(silenceFactor*p95, minSilence), maxSilence), cove.RetrySilent
+}
+
+// finished is the end of one of two racing attempts.
+type finished struct {
+	first bool
+	a     *answer
+	f     *failure
+}
+
+// race makes a second attempt at another target and takes the first answer.
+func (p *Proxy) race(x *exchange, first *try, reason cove.RetryReason) (*answer, *failure) {
+	if !p.budget.Spend() {
+		return first.judge(first.leg.head(0))
+	}
+	p.Counters.Add("retry."+string(reason), 1)
+	x.avoid(first.target)
+	x.tries++
+	ctx, cancel := context.WithCancel(x.ctx)
+	results := make(chan finished, 2)
+	p.tasks.Go(func(context.Context) error {
+		a, f := first.judge(first.leg.head(0))
+		results <- finished{true, a, f}
+		return nil
+	})
+	p.tasks.Go(func(context.Context) error {
+		a, f := p.second(ctx, x)
+		results <- finished{false, a, f}
+		return nil
+	})
+	won := <-results
+	if won.f != nil {
+		won = <-results
+		if won.f != nil {
+			cancel()
+			return nil, won.f
+		}
+		won.a.cancel = cancel
+		return won.a, nil
+	}
+	p.dropLoser(won, first, cancel, results)
+	return won.a, nil
+}
+
+// second makes the attempt beside the first one, on a fresh connection.
+func (p *Proxy) second(ctx context.Context, x *exchange) (*answer, *failure) {
+	t, f := p.open(ctx, x, true)
+	if f != nil {
+		return nil, f
+	}
+	return t.judge(t.leg.head(0))
+}
+
+// dropLoser cancels the attempt that has not won and waits for it in the
+// background.
+func (p *Proxy) dropLoser(won finished, first *try, cancel context.CancelFunc, results <-chan finished) {
+	if won.first {
+		cancel()
+	} else {
+		won.a.cancel = cancel
+		first.lost.Store(true)
+		first.leg.abort()
+	}
+	p.tasks.Go(func(context.Context) error {
+		if lost := <-results; lost.a != nil {
+			lost.a.drop()
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/route/proxy/serve.go
@@ -0,0 +1,255 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+// Names of counters.
+const (
+	counterCanceled = "proxy.canceled"
+	counterBroken   = "proxy.brokenAnswers"
+	counterReplayed = "proxy.replayed"
+)
+
+// ownPrefix starts the paths that the entry host answers itself.
+const ownPrefix = "/.cove/"
+
+// Shared refusals of this host's state.
+var (
+	errNoTable  = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoTable, "no table yet")
+	errStopping = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host is stopping")
+	errBusy     = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonHostLimit, "too many requests on this host")
+)
+
+// ServeHTTP implements http.Handler for callers.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer p.active.Add(-1)
+	if ref := p.enter(); ref != nil {
+		p.writeRefusal(w, "", ref)
+		return
+	}
+	if p.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if strings.HasPrefix(r.URL.Path, ownPrefix) {
+		p.serveOwn(w, r)
+		return
+	}
+	p.serve(w, r)
+}
+
+// enter counts a request in progress, which the caller ends in any case.
+func (p *Proxy) enter() *cove.Refusal {
+	p.arrivals.Add(1)
+	if p.active.Add(1) > int64(p.cfg.MaxRequests) {
+		return errBusy
+	}
+	if p.stopping() {
+		return errStopping
+	}
+	return nil
+}
+
+// serveOwn answers requests to the entry host itself.
+func (p *Proxy) serveOwn(w http.ResponseWriter, r *http.Request) {
+	if ref := p.checkShape(r); ref != nil {
+		p.writeRefusal(w, "", ref)
+		return
+	}
+	p.own.ServeHTTP(w, r)
+}
+
+func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
+	p.budget.Earn()
+	x := &exchange{w: w, r: r, started: p.Clock.Now()}
+	x.callerID, x.id = requestIDs(r.Header)
+	defer x.end()
+	a, err := p.handle(x)
+	if err != nil {
+		p.fail(x, err)
+		return
+	}
+	p.deliver(x, a)
+}
+
+// fail answers with a refusal, unless the caller has gone.
+func (p *Proxy) fail(x *exchange, err error) {
+	if x.r.Context().Err() != nil {
+		p.Counters.Add(counterCanceled, 1)
+		return
+	}
+	p.writeRefusal(x.w, x.callerID, x.settle(asRefusal(err)))
+}
+
+// handle takes a caller's request up to the answer.
+func (p *Proxy) handle(x *exchange) (*answer, error) {
+	if err := p.match(x); err != nil {
+		return nil, err
+	}
+	from := callerAddr(x.r)
+	if err := p.authenticate(x, from); err != nil {
+		return nil, err
+	}
+	p.prepare(x, from)
+	if err := p.limit(x); err != nil {
+		return nil, err
+	}
+	if !x.idempotent() && x.r.Header[headerKey] != nil {
+		return p.runKeyed(x)
+	}
+	if err := p.takeBody(x); err != nil {
+		return nil, err
+	}
+	return p.run(x)
+}
+
+// match checks the shape of the request and finds its route.
+func (p *Proxy) match(x *exchange) error {
+	if ref := p.checkShape(x.r); ref != nil {
+		return ref
+	}
+	x.table = p.table.Load()
+	if x.table == nil {
+		return errNoTable
+	}
+	m := x.table.routes.Find(x.r.Host, x.r.URL.Path, x.r.Method)
+	if m.Refusal != nil {
+		if m.Allow != "" {
+			x.w.Header().Set("Allow", m.Allow)
+		}
+		return m.Refusal
+	}
+	x.setRoute(m.Route, p.routes.get(m.Route.Name))
+	x.deadline = x.started.Add(p.deadlineOf(m.Route))
+	return nil
+}
+
+func (x *exchange) setRoute(r *cove.Route, st *routeState) {
+	x.route = r
+	x.state = st
+	x.pools = r.Pools
+	st.active.Add(1)
+}
+
+func (p *Proxy) deadlineOf(r *cove.Route) time.Duration {
+	if r.Deadline > 0 {
+		return time.Duration(r.Deadline)
+	}
+	return p.cfg.Deadline
+}
+
+// authenticate finds the team of the request, except on open routes.
+func (p *Proxy) authenticate(x *exchange, from netip.Addr) error {
+	key, ref := findKey(x.route.Key, x.r)
+	if ref != nil {
+		return ref
+	}
+	x.scrub = scrubber{places: x.table.places, key: key}
+	if x.route.Open {
+		return p.clean(x, from)
+	}
+	if key == "" {
+		return errNoKey
+	}
+	if !p.Keys.Fresh() && x.route.StaleKeys != staleServe {
+		return errStale
+	}
+	var err error
+	if x.principal, err = p.Keys.Authenticate(key, from); err != nil {
+		return err
+	}
+	x.keyed = true
+	if !onRoute(x.route, x.principal.Team) {
+		return errTeam
+	}
+	return p.clean(x, from)
+}
+
+// staleServe is the value of Route.StaleKeys that accepts stale key data.
+const staleServe = "serve"
+
+func onRoute(r *cove.Route, team cove.Team) bool {
+	for _, t := range r.Teams {
+		if t == team {
+			return true
+		}
+	}
+	return false
+}
+
+// clean builds what is passed on, without keys and without claims of the
+// caller about itself.
+func (p *Proxy) clean(x *exchange, from netip.Addr) error {
+	uri, ref := x.scrub.uri(x.r.URL)
+	if ref != nil {
+		return ref
+	}
+	x.method, x.uri, x.host = x.r.Method, uri, x.r.Host
+	x.fields = make([]field, 0, len(x.r.Header)+6)
+	x.fields = x.scrub.fields(forwardable(x.fields, x.r.Header))
+	x.fields = forwardedFields(x.fields, from, x.host, x.r.TLS != nil)
+	x.fields = traceFields(x.fields, x.r.Header)
+	return nil
+}
+
+// prepare sets the deadline and the class of the work.
+func (p *Proxy) prepare(x *exchange, from netip.Addr) {
+	left := x.remaining(p.Clock.Now())
+	x.ctx, x.cancel = context.WithTimeout(x.r.Context(), left)
+	if x.r.ContentLength != 0 {
+		// Bounds callers that send their body slowly.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(left))
+	}
+	x.work = p.workClass(x, x.principal.Team)
+	x.work.Block = blockOf(from)
+}
+
+// workClass describes the request of a team to admission.
+func (p *Proxy) workClass(x *exchange, team cove.Team) cove.WorkClass {
+	work := cove.WorkClass{
+		Team:     team,
+		Weight:   1,
+		Route:    x.route.Name,
+		Priority: x.route.Priority,
+		Cost:     float64(max(x.route.Cost, 1)),
+		Deadline: x.deadline,
+		Origin:   p.Self.Region,
+	}
+	if t := x.table.teams[team]; t != nil && t.Weight > 0 {
+		work.Weight = t.Weight
+	}
+	return work
+}
+
+// limit charges the request to its team.
+func (p *Proxy) limit(x *exchange) error {
+	if !x.keyed {
+		return nil
+	}
+	return p.Limiter.Take(x.ctx, x.principal.Team, x.work.Cost)
+}
+
+// takeBody takes over the caller's body for the attempts.
+func (p *Proxy) takeBody(x *exchange) error {
+	var err error
+	x.body, err = newBody(x.w, x.r, p.cfg.MaxBodyBytes, func(h http.Header) bool {
+		return p.trailerClean(x, h)
+	})
+	return err
+}
+
+// trailerClean reports whether a trailer may be passed on.
+func (p *Proxy) trailerClean(x *exchange, h http.Header) bool {
+	for name, values := range h {
+		if x.scrub.places.headers[name] || x.scrub.anyHolds(values) {
+			return false
+		}
+	}
+	return true
+}
