--- /dev/null
+++ b/internal/route/pick/domain.go
@@ -0,0 +1,196 @@
+package pick
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericcove.org/cove"
+)
+
+const (
+	// roomFresh is the age up to which a room report counts in full. Reports
+	// of healthy links arrive within it.
+	roomFresh = 2 * time.Second
+	// roomHalfLife is the age, beyond roomFresh, that halves a report.
+	roomHalfLife = 5 * time.Second
+	// probeInterval bounds the requests that are sent to a domain without
+	// reported room, so that the choice learns when room comes back.
+	probeInterval = 250 * time.Millisecond
+	// hysteresis is the relative change of the room estimate below which the
+	// spread of client blocks over the domains stays as it is.
+	hysteresis = 0.25
+	// trustMin bounds how far refusals lower the trust in a domain's reports.
+	trustMin = 1.0 / 256
+	// trustStep is how much of the way to full trust one success regains.
+	trustStep = 0.02
+	// sentSlots and sentWidth give the memory of own recent sends. It has to
+	// cover the largest usual lag of reports.
+	sentSlots = 16
+	sentWidth = 500 * time.Millisecond
+)
+
+// Domains chooses a failure domain among candidates whose Free is the reported
+// room, LoadAge the age of the report and Distance the distance from here. It
+// takes the nearest domains with room left, spreads client blocks over them in
+// proportion to their room, and keeps a block where it is while room allows.
+// It is not safe for concurrent use. The zero value is ready to use.
+type Domains struct {
+	// Share is the part of a reported room that this host may use. Zero
+	// means all of it.
+	Share float64
+
+	state map[cove.Domain]*domainState
+}
+
+var _ cove.Picker = (*Domains)(nil)
+
+type domainState struct {
+	seed      uint64
+	trust     float64
+	weight    float64
+	lastProbe time.Time
+	sent      [sentSlots]int32
+	sentAt    int64
+}
+
+// Pick implements cove.Picker.
+func (d *Domains) Pick(cs []cove.Candidate, work *cove.WorkClass, now time.Time) int {
+	best := -1
+	var bestScore float64
+	var bestDistance time.Duration
+	for i := range cs {
+		c := &cs[i]
+		if !usable(c) {
+			continue
+		}
+		if best >= 0 && c.Distance > bestDistance {
+			continue
+		}
+		s := d.get(c.Domain)
+		if d.room(s, c, now) < 1 {
+			continue
+		}
+		score := s.rank(work.Block)
+		if best < 0 || c.Distance < bestDistance || score < bestScore {
+			best, bestScore, bestDistance = i, score, c.Distance
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	return d.probe(cs, now)
+}
+
+// room estimates what this host may still send to a domain, and updates the
+// weight of the domain when the estimate has moved out of the hysteresis band.
+func (d *Domains) room(s *domainState, c *cove.Candidate, now time.Time) float64 {
+	share := d.Share
+	if share == 0 {
+		share = 1
+	}
+	budget := float64(c.Free) * freshness(c.LoadAge) * share * s.trust
+	if math.Abs(budget-s.weight) > hysteresis*s.weight {
+		s.weight = budget
+	}
+	return budget - float64(s.sentSince(now, c.LoadAge))
+}
+
+// probe returns a domain without known room that has not been tried for
+// probeInterval, or -1.
+func (d *Domains) probe(cs []cove.Candidate, now time.Time) int {
+	best := -1
+	for i := range cs {
+		c := &cs[i]
+		if !usable(c) || now.Sub(d.get(c.Domain).lastProbe) < probeInterval {
+			continue
+		}
+		if best < 0 || c.Distance < cs[best].Distance {
+			best = i
+		}
+	}
+	return best
+}
+
+// Sent records a request that goes to a domain.
+func (d *Domains) Sent(name cove.Domain, now time.Time) {
+	s := d.get(name)
+	s.lastProbe = now
+	s.advance(now)
+	s.sent[s.sentAt%sentSlots]++
+}
+
+// Done records how a request to a domain ended. A refusal for lack of room
+// means that others send there too: it halves the trust in the reports.
+func (d *Domains) Done(name cove.Domain, refused bool) {
+	s := d.get(name)
+	if refused {
+		s.trust = max(s.trust/2, trustMin)
+		return
+	}
+	s.trust += (1 - s.trust) * trustStep
+}
+
+func (d *Domains) get(name cove.Domain) *domainState {
+	s := d.state[name]
+	if s != nil {
+		return s
+	}
+	if d.state == nil {
+		d.state = make(map[cove.Domain]*domainState)
+	}
+	s = &domainState{seed: xxhash.Sum64String(string(name)), trust: 1}
+	d.state[name] = s
+	return s
+}
+
+// rank is the weighted rendezvous rank of a block; the lowest rank wins.
+func (s *domainState) rank(block uint64) float64 {
+	u := (float64(mix(s.seed^block)>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / max(s.weight, 1)
+}
+
+// advance moves the ring of own sends to the present.
+func (s *domainState) advance(now time.Time) {
+	at := now.UnixNano() / int64(sentWidth)
+	if at <= s.sentAt {
+		return
+	}
+	for k := max(s.sentAt+1, at-sentSlots+1); k <= at; k++ {
+		s.sent[k%sentSlots] = 0
+	}
+	s.sentAt = at
+}
+
+// sentSince returns the own sends that a report of this age cannot show.
+func (s *domainState) sentSince(now time.Time, age time.Duration) int {
+	s.advance(now)
+	buckets := min(int(age/sentWidth)+1, sentSlots)
+	sum := 0
+	for k := range buckets {
+		at := s.sentAt - int64(k)
+		if at < 0 {
+			break
+		}
+		sum += int(s.sent[at%sentSlots])
+	}
+	return sum
+}
+
+// freshness discounts a room report by its age.
+func freshness(age time.Duration) float64 {
+	if age <= roomFresh {
+		return 1
+	}
+	return 1 / (1 + float64(age-roomFresh)/float64(roomHalfLife))
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
