--- /dev/null
+++ b/cmd/turmericcove/main.go
@@ -0,0 +1,13 @@
+// Command turmericcove runs entry hosts and operates a fleet of them.
+package main
+
+import (
+	"context"
+	"os"
+
+	"turmericcove.org/cove/internal/ops/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/bench/trial/util.go
@@ -0,0 +1,7 @@
+package trial
+
+import "strconv"
+
+func pointer(parent string, i int) string {
+	return parent + "/" + strconv.Itoa(i)
+}
--- /dev/null
+++ b/internal/ops/admin/client.go
@@ -0,0 +1,175 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+)
+
+// Client calls the admin port of one host.
+type Client struct {
+	// Base is the URL of the admin port.
+	Base string
+	// HTTP defaults to a client with a timeout of 30 s.
+	HTTP *http.Client
+}
+
+// maxResponse bounds what is read of a response: a table of 480,000 client
+// blocks takes about 40 MB.
+const maxResponse = 256 << 20
+
+// CallError is a refusal of the admin port.
+type CallError struct {
+	Status int
+	Body   Error
+}
+
+// Error returns the text of the refusal.
+func (e *CallError) Error() string { return e.Body.Text }
+
+// Table returns the tables in force.
+func (c *Client) Table(ctx context.Context) (*cove.Table, error) {
+	t := new(cove.Table)
+	return t, c.call(ctx, http.MethodGet, PathTable, nil, t)
+}
+
+// Apply asks for a change of the tables.
+func (c *Client) Apply(ctx context.Context, req ApplyRequest) (ApplyResponse, error) {
+	var resp ApplyResponse
+	err := c.call(ctx, http.MethodPost, PathTable, req, &resp)
+	return resp, err
+}
+
+// History returns the newest commits.
+func (c *Client) History(ctx context.Context, limit int) ([]Commit, error) {
+	var resp []Commit
+	err := c.call(ctx, http.MethodGet, PathHistory+"?limit="+strconv.Itoa(limit), nil, &resp)
+	return resp, err
+}
+
+// Restore commits the newest snapshot again.
+func (c *Client) Restore(ctx context.Context) (ApplyResponse, error) {
+	var resp ApplyResponse
+	err := c.call(ctx, http.MethodPost, PathRestore, nil, &resp)
+	return resp, err
+}
+
+// GiveKey makes a key for a team.
+func (c *Client) GiveKey(ctx context.Context, req KeyRequest) (KeyResponse, error) {
+	var resp KeyResponse
+	err := c.call(ctx, http.MethodPost, PathKeys, req, &resp)
+	return resp, err
+}
+
+// WithdrawKey withdraws a key.
+func (c *Client) WithdrawKey(ctx context.Context, req KeyRequest) (KeyResponse, error) {
+	var resp KeyResponse
+	err := c.call(ctx, http.MethodDelete, PathKeys, req, &resp)
+	return resp, err
+}
+
+// Drain marks a backend server as draining or takes the mark back.
+func (c *Client) Drain(ctx context.Context, req DrainRequest) (ApplyResponse, error) {
+	var resp ApplyResponse
+	err := c.call(ctx, http.MethodPost, PathDrain, req, &resp)
+	return resp, err
+}
+
+// Leave starts the orderly stop of the host.
+func (c *Client) Leave(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, PathLeave, nil, nil)
+}
+
+// Remove removes a dead host from the register.
+func (c *Client) Remove(ctx context.Context, req RemoveRequest) error {
+	return c.call(ctx, http.MethodPost, PathRemove, req, nil)
+}
+
+// InForce tells which hosts have a version in force.
+func (c *Client) InForce(ctx context.Context, v cove.Version) (InForce, error) {
+	var resp InForce
+	err := c.call(ctx, http.MethodGet, PathInForce+"?version="+strconv.FormatUint(uint64(v), 10), nil, &resp)
+	return resp, err
+}
+
+// Status returns the state of the host, or of all hosts.
+func (c *Client) Status(ctx context.Context, all bool) ([]Status, error) {
+	var resp []Status
+	err := c.call(ctx, http.MethodGet, PathStatus+"?all="+strconv.FormatBool(all), nil, &resp)
+	return resp, err
+}
+
+// Explain tells why a request goes where it goes.
+func (c *Client) Explain(ctx context.Context, q url.Values) (Explanation, error) {
+	var resp Explanation
+	err := c.call(ctx, http.MethodPost, PathExplain, q, &resp)
+	return resp, err
+}
+
+// Events returns the events of all hosts that can be reached since a time.
+func (c *Client) Events(ctx context.Context, since time.Time, kind string) ([]cove.Event, error) {
+	q := url.Values{"since": {since.Format(time.RFC3339Nano)}, "kind": {kind}}
+	var resp []cove.Event
+	err := c.call(ctx, http.MethodGet, PathEvents+"?"+q.Encode(), nil, &resp)
+	return resp, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, req, resp any) error {
+	var body io.Reader
+	if req != nil {
+		b, err := json.Marshal(req)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		body = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	if err != nil {
+		return errors.Wrap(err, "admin request")
+	}
+	res, err := c.client().Do(r)
+	if err != nil {
+		return errors.Wrap(err, "admin port")
+	}
+	defer closeBody(res.Body)
+	return decode(res, resp)
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return &http.Client{Timeout: 30 * time.Second}
+}
+
+func decode(res *http.Response, resp any) error {
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponse))
+	if err != nil {
+		return errors.Wrap(err, "read response")
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		e := &CallError{Status: res.StatusCode}
+		if err := json.Unmarshal(b, &e.Body); err != nil {
+			e.Body.Text = res.Status
+		}
+		return e
+	}
+	if resp == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(b, resp), "decode response")
+}
+
+func closeBody(c io.Closer) {
+	// The response has been read; an error of Close changes nothing.
+	_ = c.Close()
+}
