--- /dev/null
+++ b/internal/bench/platf/platform.go
@@ -0,0 +1,172 @@
+// Package platf is a stand-in of the platform: a transactional table service,
+// an object store and a lagging list of hosts. It is a Go value, which
+// implements the interfaces of package cove, and an http.Handler.
+//
+// # Protocol
+//
+// Bodies are JSON, except for objects. Byte strings are base64 text.
+//
+//	GET    /v1/row?key=K[&ifNot=R]  200 cove.Row; 304 if its revision is R; 404
+//	GET    /v1/rows?prefix=P&after=A&limit=N  200 {"rows":[cove.Row]}
+//	POST   /v1/commit  {"token":T,"writes":[cove.Write]}
+//	                   200 {"applied":true}; 409 {"rows":[cove.Row]}
+//	GET    /v1/commit?token=T  200 {"applied":bool}; 404 if T was never used
+//	GET    /v1/object?name=N  200 bytes; 404
+//	PUT    /v1/object?name=N  204; 409 if N exists with other bytes
+//	DELETE /v1/object?name=N  204
+//	GET    /v1/objects?prefix=P  200 {"names":[string]}
+//	GET    /v1/hosts  200 {"hosts":[cove.ListedHost]}
+//	PUT    /v1/hosts  cove.ListedHost  204
+//	DELETE /v1/hosts?id=I  204
+//
+// A commit applies all its writes or none. Its token is used up by the first
+// commit that passes its conditions; a later commit with the same token writes
+// nothing and answers whether the first one applied. A commit without writes
+// uses up its token and answers {"applied":false}: a writer whose answer was
+// lost can so make sure that its commit will not take effect later.
+//
+// 429 means that a limit on the rate of reads or commits was exceeded and 503
+// that the service is out of order; in both cases nothing was done.
+package platf
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/clock"
+)
+
+// Limits of the whole platform.
+const (
+	DefaultCommitsPerSecond = 300
+	DefaultReadsPerSecond   = 2000
+)
+
+// Faults are the settable faults. The zero value has none.
+type Faults struct {
+	// Outage makes every operation fail before it has an effect.
+	Outage bool `json:"outage"`
+	// Delay is added to every operation.
+	Delay time.Duration `json:"delay"`
+	// LostShare is the share of writes whose answer is lost after the write
+	// has taken effect, 0 to 1.
+	LostShare float64 `json:"lostShare"`
+	// OlderShare is the share of reads that return an older state.
+	OlderShare float64 `json:"olderShare"`
+	// OlderCommits is how many commits an older read may lag behind.
+	OlderCommits int `json:"olderCommits"`
+	// HostLag is how far the list of hosts lags behind.
+	HostLag time.Duration `json:"hostLag"`
+}
+
+// Counts are the operations since the start.
+type Counts struct {
+	Reads, Commits, Conflicts, ObjectReads, ObjectWrites, Refused, Lost int64
+}
+
+// Platform holds the state of all three services.
+type Platform struct {
+	clock cove.Clock
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	faults  Faults
+	counts  Counts
+	reads   bucket
+	commits bucket
+	table   table
+	objects map[string][]byte
+	hosts   []hostState
+}
+
+// New returns an empty platform. A nil clock means the system's. The seed
+// drives the random faults.
+func New(c cove.Clock, seed uint64) *Platform {
+	if c == nil {
+		c = clock.System{}
+	}
+	return &Platform{
+		clock:   c,
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+		reads:   bucket{rate: DefaultReadsPerSecond},
+		commits: bucket{rate: DefaultCommitsPerSecond},
+		table:   newTable(),
+		objects: make(map[string][]byte),
+	}
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Faults returns the faults that are set.
+func (p *Platform) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// Counts returns the number of operations so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// bucket limits a rate, with a burst of one second.
+type bucket struct {
+	rate   float64
+	tokens float64
+	last   time.Time
+}
+
+func (b *bucket) take(now time.Time) bool {
+	if b.last.IsZero() {
+		b.tokens = b.rate
+	} else {
+		b.tokens = min(b.rate, b.tokens+b.rate*now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// enter waits for the set delay, then takes the lock, charges b and reports
+// whether the operation may go on. The caller unlocks in every case.
+func (p *Platform) enter(ctx context.Context, b *bucket) error {
+	delay := p.Faults().Delay
+	var err error
+	if delay > 0 {
+		err = p.clock.Sleep(ctx, delay)
+	}
+	p.mu.Lock()
+	if err != nil {
+		return unavailable("canceled")
+	}
+	if p.faults.Outage {
+		return unavailable("outage")
+	}
+	if !b.take(p.clock.Now()) {
+		p.counts.Refused++
+		return errLimit
+	}
+	return nil
+}
+
+// lost draws whether the answer of a write that took effect is lost.
+func (p *Platform) lost() bool {
+	if p.faults.LostShare == 0 || p.rng.Float64() >= p.faults.LostShare {
+		return false
+	}
+	p.counts.Lost++
+	return true
+}
--- /dev/null
+++ b/internal/state/feed/feed.go
@@ -0,0 +1,159 @@
+// Package feed distributes the versions of the tables: it commits changes to
+// the platform's table service and brings every accepted version to every host.
+//
+// # Distribution
+//
+// The live hosts of a failure domain, in order of their ids, form a tree in
+// which each host has at most followFanout children. The root reads the row
+// config/head; every other host keeps one request open at its parent, which
+// answers when there is a newer version. So the cost for a host does not
+// depend on the number of hosts. A committing host notifies the roots directly.
+//
+// # Freshness
+//
+// The time at which a host last knew that it would have seen any accepted
+// change travels down the same tree, measured from before each request was
+// sent. The root proves it with a commit that only checks the revision of
+// config/head, because a plain read may return an older state.
+package feed
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/group"
+	"turmericcove.org/cove/internal/state/table"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+// Config holds what a Feed depends on. All fields are required.
+type Config struct {
+	Self     cove.Self
+	Clock    cove.Clock
+	Rows     cove.TableStore
+	Objects  cove.ObjectStore
+	Members  cove.Members
+	Peers    cove.Peers
+	Board    cove.Board
+	Events   cove.Events
+	Counters cove.Counters
+}
+
+// entry is a version as it is stored and sent.
+type entry struct {
+	version cove.Version
+	chain   table.Chain
+	data    []byte
+}
+
+// state is a version in force. It is immutable.
+type state struct {
+	table *cove.Table
+	chain table.Chain
+	// format is the highest format that the table was read from.
+	format int
+}
+
+func (s state) version() cove.Version {
+	if s.table == nil {
+		return 0
+	}
+	return s.table.Version
+}
+
+// Feed holds the table in force of this host.
+type Feed struct {
+	Config
+
+	group *group.Group
+	seq   atomic.Uint64
+
+	// publishMu is held while a version is put in force, so that watchers see
+	// versions in order.
+	publishMu sync.Mutex
+	watchers  []func(*cove.Table)
+
+	mu      sync.Mutex
+	cur     state
+	log     []entry // the newest versions without a gap, up to cur
+	logSize int
+	changed chan struct{} // closed when cur changes
+	fresh   time.Time
+	snap    []byte // the encoded form of cur, if a peer has asked for it
+	store   storeView
+	behind  cove.Version // a newer version seen at the last tick
+	misses  int          // failed attempts to follow since the last success
+	known   map[cove.Domain]bool
+	note    postedNote
+}
+
+var (
+	_ cove.Tables  = (*Feed)(nil)
+	_ cove.Service = (*Feed)(nil)
+)
+
+// New returns a feed and registers its handler on the peer port.
+func New(cfg Config) *Feed {
+	f := &Feed{Config: cfg, changed: make(chan struct{}), known: make(map[cove.Domain]bool)}
+	cfg.Peers.Handle(peerpb.NewConfigHandler(&server{feed: f}))
+	return f
+}
+
+// Name implements cove.Service.
+func (f *Feed) Name() string { return "feed" }
+
+// Start asks peers and the store for the newest version and then starts the
+// tasks that follow it. A host that reaches neither starts without a table.
+func (f *Feed) Start(ctx context.Context) error {
+	f.load(ctx)
+	f.group = group.New(context.WithoutCancel(ctx))
+	f.group.Go(f.pollLoop)
+	f.group.Go(f.followLoop)
+	f.group.Go(f.maintainLoop)
+	return nil
+}
+
+// Stop implements cove.Service.
+func (f *Feed) Stop(ctx context.Context) error {
+	if f.group == nil {
+		return nil
+	}
+	return errors.Wrap(f.group.Stop(ctx), "stop feed")
+}
+
+// Current implements cove.Tables.
+func (f *Feed) Current() *cove.Table {
+	return f.current().table
+}
+
+// Ready reports whether this host has a table.
+func (f *Feed) Ready() bool { return f.Current() != nil }
+
+func (f *Feed) current() state {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cur
+}
+
+// Watch implements cove.Tables.
+func (f *Feed) Watch(fn func(*cove.Table)) {
+	f.publishMu.Lock()
+	defer f.publishMu.Unlock()
+	f.watchers = append(f.watchers, fn)
+	if t := f.Current(); t != nil {
+		fn(t)
+	}
+}
+
+// token returns a token that no other commit uses.
+func (f *Feed) token() string {
+	return f.Self.Incarnation.String() + "-config-" + strconv.FormatUint(f.seq.Add(1), 10)
+}
+
+func (f *Feed) count(name string) { f.Counters.Add("config."+name, 1) }
--- /dev/null
+++ b/internal/state/feed/follow.go
@@ -0,0 +1,184 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/state/table"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+// Times and bounds of exchanges with peers.
+const (
+	// followWait is how long a parent holds a request. Three levels of it and
+	// the interval of verifications stay under the freshness limit of 5 s.
+	followWait = 900 * time.Millisecond
+	// callTimeout bounds an exchange beyond the time it is held.
+	callTimeout = time.Second
+	// fetchTimeout bounds the transfer of deltas or a snapshot.
+	fetchTimeout = 10 * time.Second
+	// followPause is the wait after a failed attempt, or without a host to
+	// follow.
+	followPause = 200 * time.Millisecond
+	// rootFollowAge is the age of the last synchronisation after which the
+	// first host of a domain follows others.
+	rootFollowAge = 1500 * time.Millisecond
+	// clockError is the share by which clocks of two hosts may run apart.
+	clockError = 0.02
+	// protocolVersion of the messages.
+	protocolVersion = 1
+	// chainPrefix is how many bytes of the chain a host compares with a peer.
+	chainPrefix = 8
+)
+
+var errNoSource = errors.New("no host to follow")
+
+func (f *Feed) followLoop(ctx context.Context) error {
+	for {
+		if f.followOnce(ctx, followWait) == nil {
+			continue
+		}
+		if err := f.Clock.Sleep(ctx, followPause); err != nil {
+			return err
+		}
+	}
+}
+
+// followOnce makes one request to the host that this one follows.
+func (f *Feed) followOnce(ctx context.Context, wait time.Duration) error {
+	source, err := f.source()
+	if err != nil {
+		return err
+	}
+	err = f.followHost(ctx, source, wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.misses++
+		f.count("followFailed")
+		return err
+	}
+	f.misses = 0
+	return nil
+}
+
+// source returns the host to follow: the next one in order after each failure.
+func (f *Feed) source() (cove.HostID, error) {
+	t := f.tree()
+	hosts := t.sources()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	synced := t.rank == 0 && f.Clock.Now().Sub(f.fresh) < rootFollowAge
+	if synced || len(hosts) == 0 {
+		return "", errNoSource
+	}
+	return hosts[f.misses%len(hosts)], nil
+}
+
+func (f *Feed) followHost(ctx context.Context, id cove.HostID, wait time.Duration) error {
+	client, err := f.client(id)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	start := f.Clock.Now()
+	resp, err := client.Follow(ctx, &peerpb.FollowRequest{
+		Sender:  f.sender(),
+		Version: uint64(f.current().version()),
+		WaitMs:  uint32(wait.Milliseconds()),
+	})
+	if err != nil {
+		return errors.Wrap(err, "follow")
+	}
+	if err := f.advance(entriesOf(resp.Deltas), nil, string(id)); err != nil {
+		return err
+	}
+	if cove.Version(resp.Version) > f.current().version() {
+		if err := f.fetch(ctx, id); err != nil {
+			return err
+		}
+	}
+	return f.heard(resp, start)
+}
+
+// heard takes over the freshness of a peer. The peer's answer was made not
+// earlier than the time the request was held after its start.
+func (f *Feed) heard(resp *peerpb.FollowResponse, start time.Time) error {
+	cur := f.current()
+	if cur.version() < cove.Version(resp.Version) {
+		return errGap
+	}
+	if cur.version() == cove.Version(resp.Version) && !bytes.Equal(resp.Chain, cur.chain[:chainPrefix]) {
+		return errForked
+	}
+	if resp.AgeUs == 0 {
+		return nil
+	}
+	held := float64(resp.HeldUs) * (1 - clockError)
+	age := float64(resp.AgeUs) * (1 + clockError)
+	f.sawFresh(start.Add(time.Duration(held-age) * time.Microsecond))
+	return nil
+}
+
+// fetch brings this host to the version of a peer.
+func (f *Feed) fetch(ctx context.Context, id cove.HostID) error {
+	client, err := f.client(id)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	resp, err := client.FetchConfig(ctx, &peerpb.FetchConfigRequest{
+		Sender:  f.sender(),
+		Version: uint64(f.current().version()),
+	})
+	if err != nil {
+		return errors.Wrap(err, "fetch")
+	}
+	f.count("fetched")
+	if len(resp.Snapshot) > 0 {
+		return f.adopt(resp.Snapshot, string(id))
+	}
+	return f.advance(entriesOf(resp.Deltas), nil, string(id))
+}
+
+func (f *Feed) client(id cove.HostID) (peerpb.ConfigClient, error) {
+	hc, base, err := f.Peers.Client(id)
+	if err != nil {
+		return nil, errors.Wrap(err, "reach peer")
+	}
+	return peerpb.NewConfigClient(hc, base), nil
+}
+
+func (f *Feed) sender() *peerpb.ConfigSender {
+	return &peerpb.ConfigSender{
+		Protocol:    protocolVersion,
+		Host:        string(f.Self.ID),
+		Incarnation: f.Self.Incarnation[:],
+	}
+}
+
+func entriesOf(ds []*peerpb.ConfigDelta) []entry {
+	out := make([]entry, 0, len(ds))
+	for _, d := range ds {
+		e := entry{version: cove.Version(d.Version), data: d.Data}
+		if len(d.Chain) == len(table.Chain{}) {
+			e.chain = table.Chain(d.Chain)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func deltasOf(entries []entry) []*peerpb.ConfigDelta {
+	out := make([]*peerpb.ConfigDelta, len(entries))
+	for i, e := range entries {
+		out[i] = &peerpb.ConfigDelta{Version: uint64(e.version), Chain: e.chain[:], Data: e.data}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/feed/fresh.go
@@ -0,0 +1,137 @@
+package feed
+
+import (
+	"encoding/binary"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+const (
+	// noteTopic is the topic of this package on the board.
+	noteTopic = "config"
+	// noteInterval is how often a host that cannot reach the store says so.
+	noteInterval = time.Second
+	// failureAge is how long a failed attempt to reach the store counts.
+	failureAge = 2 * time.Second
+	// flagUnreachable in a note means that the host cannot reach the store.
+	flagUnreachable = 1
+)
+
+// noteValue is a note: the version as a varint, then a byte of flags.
+type noteValue struct {
+	version     cove.Version
+	unreachable bool
+}
+
+func (n noteValue) encode() []byte {
+	b := binary.AppendUvarint(nil, uint64(n.version))
+	var flags byte
+	if n.unreachable {
+		flags = flagUnreachable
+	}
+	return append(b, flags)
+}
+
+func parseNote(b []byte) (noteValue, bool) {
+	v, n := binary.Uvarint(b)
+	if n <= 0 || len(b) <= n {
+		return noteValue{}, false
+	}
+	return noteValue{version: cove.Version(v), unreachable: b[n]&flagUnreachable != 0}, true
+}
+
+// postedNote is the last note of this host.
+type postedNote struct {
+	value noteValue
+	at    time.Time
+}
+
+// postNote posts the version and whether the store can be reached. It posts
+// only what has changed, because each note travels through the fleet; a host
+// that cannot reach the store repeats its note, because its age matters.
+func (f *Feed) postNote() {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	value := noteValue{version: f.cur.version(), unreachable: !f.store.failed.IsZero()}
+	due := value != f.note.value || value.unreachable && now.Sub(f.note.at) >= noteInterval
+	if due {
+		f.note = postedNote{value: value, at: now}
+	}
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	for _, scope := range []cove.Scope{cove.ScopeDomain, cove.ScopeFleet} {
+		if err := f.Board.Post(scope, noteTopic, value.encode()); err != nil {
+			f.count("noteFailed")
+		}
+	}
+}
+
+// FreshAt returns when this host last knew that it would have seen any
+// accepted change. It is zero before the first time.
+func (f *Feed) FreshAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh
+}
+
+// sawFresh notes that no accepted change before t is missing here.
+func (f *Feed) sawFresh(t time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.After(f.fresh) {
+		f.fresh = t
+	}
+}
+
+// outageFresh applies the rule for an outage of the store: while this host and
+// every other failure domain cannot reach it, no change can be accepted.
+func (f *Feed) outageFresh() {
+	now := f.Clock.Now()
+	notes := make(map[cove.Domain]time.Duration)
+	for _, n := range f.Board.Notes(cove.ScopeFleet, noteTopic) {
+		s, ok := parseNote(n.Value)
+		if !ok || !s.unreachable {
+			continue
+		}
+		if age, ok := notes[n.Domain]; !ok || n.Age < age {
+			notes[n.Domain] = n.Age
+		}
+	}
+	f.mu.Lock()
+	failed := f.store.failed
+	domains := f.otherDomainsLocked()
+	f.mu.Unlock()
+	if failed.IsZero() || now.Sub(failed) > failureAge {
+		return
+	}
+	at := failed
+	for _, d := range domains {
+		age, ok := notes[d]
+		if !ok {
+			return
+		}
+		if t := now.Add(-age); t.Before(at) {
+			at = t
+		}
+	}
+	f.count("freshByOutage")
+	f.sawFresh(at)
+}
+
+// otherDomainsLocked returns the other failure domains of the table that have
+// had hosts.
+func (f *Feed) otherDomainsLocked() []cove.Domain {
+	var out []cove.Domain
+	if f.cur.table == nil {
+		return nil
+	}
+	for _, d := range f.cur.table.Domains {
+		if d.Name != f.Self.Domain && f.known[d.Name] {
+			out = append(out, d.Name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/feed/notify.go
@@ -0,0 +1,157 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/group"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+const (
+	// notifyTimeout bounds one notification.
+	notifyTimeout = time.Second
+	// confirmWait is how long Confirm leaves it to the heartbeats to report
+	// the version before it asks hosts directly.
+	confirmWait = time.Second
+	// confirmPause is the time between two rounds of Confirm.
+	confirmPause = 100 * time.Millisecond
+	// confirmParallel is how many hosts are asked at once.
+	confirmParallel = 16
+)
+
+// notifyAll tells the first host of each failure domain of a committed version.
+// It does not wait for the answers.
+func (f *Feed) notifyAll(ctx context.Context, e entry) {
+	t := f.tree()
+	hosts := t.firsts
+	if t.rank > 0 {
+		hosts = append(slices.Clone(hosts), t.domain[0])
+	}
+	req := &peerpb.NotifyRequest{Sender: f.sender(), Version: uint64(e.version)}
+	if len(e.data) <= inlineBytes {
+		req.Delta = deltasOf([]entry{e})[0]
+	}
+	g := f.group
+	if g == nil {
+		g = group.New(context.WithoutCancel(ctx))
+	}
+	for _, id := range hosts {
+		g.Go(func(ctx context.Context) error {
+			if err := f.notify(ctx, id, req); err != nil {
+				f.count("notifyFailed")
+			}
+			return nil
+		})
+	}
+}
+
+func (f *Feed) notify(ctx context.Context, id cove.HostID, req *peerpb.NotifyRequest) error {
+	client, err := f.client(id)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	_, err = client.Notify(ctx, req)
+	return errors.Wrap(err, "notify")
+}
+
+// Confirmation tells which hosts have a version in force.
+type Confirmation struct {
+	Version   cove.Version
+	Confirmed []cove.HostID
+	Missing   []cove.HostID
+	// Took is the time until the last host confirmed, or until the wait ended.
+	Took time.Duration
+}
+
+// InForce returns which hosts have a version in force as far as heartbeats
+// have reported it. Hosts that are gone do not count.
+func (f *Feed) InForce(v cove.Version) Confirmation {
+	c := Confirmation{Version: v}
+	c.add(f.Self.ID, f.current().version() >= v)
+	for _, m := range f.Members.Snapshot() {
+		if m.ID != f.Self.ID && m.State != cove.HostGone {
+			c.add(m.ID, m.Version >= v)
+		}
+	}
+	return c
+}
+
+func (c *Confirmation) add(id cove.HostID, inForce bool) {
+	if inForce {
+		c.Confirmed = append(c.Confirmed, id)
+		return
+	}
+	c.Missing = append(c.Missing, id)
+}
+
+// Confirm waits until all hosts have a version in force or ctx ends. Hosts
+// whose heartbeats have not reported it in time are asked directly.
+func (f *Feed) Confirm(ctx context.Context, v cove.Version) Confirmation {
+	start := f.Clock.Now()
+	asked := make(map[cove.HostID]bool)
+	for {
+		c := f.InForce(v)
+		took := f.Clock.Now().Sub(start)
+		if took >= confirmWait {
+			f.ask(ctx, v, c.Missing, asked)
+		}
+		c = c.with(asked)
+		c.Took = f.Clock.Now().Sub(start)
+		if len(c.Missing) == 0 || f.Clock.Sleep(ctx, confirmPause) != nil {
+			return c
+		}
+	}
+}
+
+// with moves the hosts that have confirmed directly.
+func (c Confirmation) with(asked map[cove.HostID]bool) Confirmation {
+	out := Confirmation{Version: c.Version, Confirmed: c.Confirmed}
+	for _, id := range c.Missing {
+		out.add(id, asked[id])
+	}
+	return out
+}
+
+// ask requests the version of hosts and notes those that have it.
+func (f *Feed) ask(ctx context.Context, v cove.Version, hosts []cove.HostID, asked map[cove.HostID]bool) {
+	var mu sync.Mutex
+	g := group.New(ctx)
+	slots := make(chan struct{}, confirmParallel)
+	for _, id := range hosts {
+		if id == f.Self.ID || asked[id] {
+			continue
+		}
+		slots <- struct{}{}
+		g.Go(func(ctx context.Context) error {
+			defer func() { <-slots }()
+			if f.hasVersion(ctx, id, v) {
+				mu.Lock()
+				defer mu.Unlock()
+				asked[id] = true
+			}
+			return nil
+		})
+	}
+	// The goroutines return no errors.
+	_ = g.Wait()
+	g.Cancel()
+}
+
+func (f *Feed) hasVersion(ctx context.Context, id cove.HostID, v cove.Version) bool {
+	client, err := f.client(id)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := client.Follow(ctx, &peerpb.FollowRequest{Sender: f.sender(), Version: uint64(v)})
+	return err == nil && cove.Version(resp.Version) >= v
+}
--- /dev/null
+++ b/internal/state/feed/reader.go
@@ -0,0 +1,288 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/state/table"
+)
+
+// Times of the reader.
+const (
+	pollInterval = 250 * time.Millisecond
+	// verifyInterval is the time between two commits that prove the head to be
+	// current. At 21 failure domains they are 21 of the platform's several
+	// hundred writes a second.
+	verifyInterval = time.Second
+	// standbyAge is the age of the last synchronisation after which the next
+	// host of the domain reads the store as well, per place in the order.
+	standbyAge = 500 * time.Millisecond
+	// standbyInterval is the time between two reads of such a host.
+	standbyInterval = time.Second
+	// standbyRanks is how many hosts after the first may do so. The number is
+	// fixed, so that an outage does not make the whole fleet read.
+	standbyRanks = 3
+	// olderEventInterval bounds how often an older read becomes an event.
+	olderEventInterval = 10 * time.Second
+)
+
+// health is the condition of config/head.
+type health string
+
+const (
+	healthOK          health = "ok"
+	healthUnreachable health = "unreachable"
+	healthEmpty       health = "empty"
+	healthOlder       health = "older"
+	healthDamaged     health = "damaged"
+	healthForked      health = "forked"
+)
+
+// storeView is what this host knows of the store.
+type storeView struct {
+	health     health
+	head       headRow
+	revision   uint64 // of the row config/head; 0 when there is none
+	tried      time.Time
+	verified   time.Time
+	failed     time.Time // when the last attempt failed; zero after a success
+	olderEvent time.Time
+}
+
+// changedReader is implemented by stores that can leave out a row that has not
+// changed.
+type changedReader interface {
+	GetIfChanged(ctx context.Context, key string, revision uint64) (cove.Row, bool, error)
+}
+
+func (f *Feed) pollLoop(ctx context.Context) error {
+	for {
+		f.pollOnce(ctx)
+		if err := f.Clock.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// pollOnce is one round of the reader.
+func (f *Feed) pollOnce(ctx context.Context) {
+	f.learnDomains()
+	f.chase(ctx)
+	now := f.Clock.Now()
+	if !f.mayRead(now) {
+		return
+	}
+	f.mu.Lock()
+	due := now.Sub(f.store.verified) >= verifyInterval
+	f.mu.Unlock()
+	if due {
+		// The error is kept in the view of the store.
+		_, _ = f.verify(ctx)
+	} else {
+		f.readHead(ctx)
+	}
+	f.outageFresh()
+}
+
+// mayRead reports whether this host reads the store now: the first live host
+// of the domain does always, the next ones do when nothing fresh reaches them.
+func (f *Feed) mayRead(now time.Time) bool {
+	rank := f.tree().rank
+	if rank == 0 {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if rank > standbyRanks || now.Sub(f.store.tried) < standbyInterval {
+		return false
+	}
+	return now.Sub(f.fresh) > verifyInterval+time.Duration(rank)*standbyAge
+}
+
+// view returns what is known of the store and notes an attempt to reach it.
+func (f *Feed) view() storeView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.tried = f.Clock.Now()
+	return f.store
+}
+
+// readHead reads config/head. The answer may be older than the last one.
+func (f *Feed) readHead(ctx context.Context) {
+	view := f.view()
+	row, changed, err := f.getHead(ctx, view.revision)
+	switch {
+	case errors.Is(err, cove.ErrNotFound):
+		f.contacted()
+		if f.current().version() > 0 {
+			f.sawOlder(0)
+		}
+	case err != nil:
+		f.unreachable(err)
+	case !changed:
+		f.contacted()
+	default:
+		f.contacted()
+		f.readRow(ctx, row)
+	}
+}
+
+func (f *Feed) getHead(ctx context.Context, revision uint64) (cove.Row, bool, error) {
+	if r, ok := f.Rows.(changedReader); ok && revision > 0 {
+		return r.GetIfChanged(ctx, headKey, revision)
+	}
+	row, err := f.Rows.Get(ctx, headKey)
+	return row, true, err
+}
+
+// readRow follows a row that a plain read returned. Only a newer version has
+// an effect; what else may be wrong is left to the next verification.
+func (f *Feed) readRow(ctx context.Context, row cove.Row) {
+	head, err := parseHead(row)
+	if err != nil {
+		f.count("damagedReads")
+		return
+	}
+	have := f.current().version()
+	if head.Version < have {
+		f.sawOlder(head.Version)
+		return
+	}
+	if head.Version == have {
+		return
+	}
+	if err := f.catchUp(ctx, head); err != nil {
+		f.count("catchUpFailed")
+	}
+}
+
+// verify finds the condition of config/head with a commit that only checks its
+// revision, and takes over a newer version. It returns the view of the store.
+func (f *Feed) verify(ctx context.Context) (storeView, error) {
+	start := f.Clock.Now()
+	view := f.view()
+	check := cove.Write{Key: headKey, IfRevision: view.revision, Check: true}
+	err := f.Rows.Commit(ctx, f.token(), []cove.Write{check})
+	var conflict *cove.ConflictError
+	if errors.As(err, &conflict) && len(conflict.Rows) > 0 {
+		view.revision = conflict.Rows[0].Revision
+		view.head, view.health = headOf(conflict.Rows[0])
+		err = nil
+	}
+	if err != nil {
+		f.unreachable(err)
+		return view, errors.Wrap(err, "verify the head")
+	}
+	f.contacted()
+	if view.health == "" || view.health == healthUnreachable {
+		view.health = healthOK
+	}
+	f.judge(ctx, &view)
+	f.record(view, start)
+	return view, nil
+}
+
+// headOf reads a row that a conflict returned.
+func headOf(row cove.Row) (headRow, health) {
+	if row.Revision == 0 || len(row.Value) == 0 {
+		return headRow{}, healthOK
+	}
+	head, err := parseHead(row)
+	if err != nil {
+		return headRow{}, healthDamaged
+	}
+	return head, healthOK
+}
+
+// judge compares the head with the version in force and catches up.
+func (f *Feed) judge(ctx context.Context, view *storeView) {
+	if view.health == healthDamaged {
+		return
+	}
+	var err error
+	if view.head.Version > f.current().version() {
+		err = f.catchUp(ctx, view.head)
+	}
+	cur := f.current()
+	switch {
+	case errors.Is(err, errForked):
+		view.health = healthForked
+	case errors.Is(err, table.ErrDamaged), errors.Is(err, table.ErrMismatch):
+		view.health = healthDamaged
+	case view.head.Version > cur.version():
+		// Not caught up; the next round tries again.
+		view.health = healthUnreachable
+	case view.head.Version == cur.version() && view.head.Chain != cur.chain:
+		view.health = healthForked
+	case view.head.Version == cur.version():
+		view.health = healthOK
+	case view.head.Version == 0:
+		view.health = healthEmpty
+	default:
+		view.health = healthOlder
+	}
+}
+
+// record keeps the result of a verification that began at start. A store that
+// is proved to be older or empty counts as synchronised, because no change can
+// be accepted on top of it.
+func (f *Feed) record(view storeView, start time.Time) {
+	f.mu.Lock()
+	was := f.store.health
+	f.store.health = view.health
+	f.store.head = view.head
+	f.store.revision = view.revision
+	f.store.verified = start
+	f.mu.Unlock()
+	if was != view.health {
+		f.count("store." + string(view.health))
+		f.Events.Emit("store."+string(view.health), "verification of "+headKey)
+	}
+	switch view.health {
+	case healthOK, healthOlder, healthEmpty:
+		f.sawFresh(start)
+	}
+}
+
+// contacted notes that the store answered.
+func (f *Feed) contacted() {
+	f.mu.Lock()
+	down := !f.store.failed.IsZero()
+	f.store.failed = time.Time{}
+	f.mu.Unlock()
+	if down {
+		f.Events.Emit("store.reachable", "answer")
+		f.postNote()
+	}
+}
+
+// unreachable notes that the store did not answer.
+func (f *Feed) unreachable(err error) {
+	f.count("store.unreachable")
+	f.mu.Lock()
+	first := f.store.failed.IsZero()
+	f.store.failed = f.Clock.Now()
+	f.mu.Unlock()
+	if first {
+		f.Events.Emit("store.unreachable", err.Error())
+	}
+	f.postNote()
+}
+
+// sawOlder notes a read that returned an older version than the one in force.
+func (f *Feed) sawOlder(v cove.Version) {
+	f.count("store.olderReads")
+	now := f.Clock.Now()
+	f.mu.Lock()
+	due := f.store.olderEvent.IsZero() || now.Sub(f.store.olderEvent) >= olderEventInterval
+	if due {
+		f.store.olderEvent = now
+	}
+	f.mu.Unlock()
+	if due {
+		f.Events.Emit("store.older", "read of "+headKey, cove.Field{Name: "version", Value: versionKey(v)})
+	}
+}
--- /dev/null
+++ b/internal/state/feed/serve.go
@@ -0,0 +1,156 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/state/table"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+const (
+	// maxHold bounds how long a request is held.
+	maxHold = 2 * time.Second
+	// inlineBytes bounds the deltas in an answer to Follow.
+	inlineBytes = 64 << 10
+)
+
+// server answers the requests of other hosts.
+type server struct {
+	peerpb.UnimplementedConfigHandler
+	feed *Feed
+}
+
+// Follow implements peerpb.ConfigHandler.
+func (s *server) Follow(ctx context.Context, req *peerpb.FollowRequest) (*peerpb.FollowResponse, error) {
+	f := s.feed
+	start := f.Clock.Now()
+	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxHold)
+	if err := f.hold(ctx, cove.Version(req.Version), wait); err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, err)
+	}
+	return f.followResponse(cove.Version(req.Version), start), nil
+}
+
+// hold waits until a version above v is in force, but not longer than wait.
+func (f *Feed) hold(ctx context.Context, v cove.Version, wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
+	timer := f.Clock.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		have, changed := f.cur.version(), f.changed
+		f.mu.Unlock()
+		if have > v {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C():
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *Feed) followResponse(v cove.Version, start time.Time) *peerpb.FollowResponse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	resp := &peerpb.FollowResponse{
+		Version: uint64(f.cur.version()),
+		HeldUs:  uint64(now.Sub(start).Microseconds()),
+		Chain:   f.cur.chain[:chainPrefix],
+	}
+	if !f.fresh.IsZero() {
+		// Rounded up, and never 0, which means that there is no time.
+		resp.AgeUs = uint64(max(0, now.Sub(f.fresh).Microseconds())) + 1
+	}
+	if entries, ok := f.sinceLocked(v); ok && sizeOf(entries) <= inlineBytes {
+		resp.Deltas = deltasOf(entries)
+	}
+	return resp
+}
+
+func sizeOf(entries []entry) int {
+	n := 0
+	for _, e := range entries {
+		n += len(e.data)
+	}
+	return n
+}
+
+// FetchConfig implements peerpb.ConfigHandler.
+func (s *server) FetchConfig(_ context.Context, req *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
+	f := s.feed
+	resp := &peerpb.FetchConfigResponse{Version: uint64(f.current().version())}
+	if entries, ok := f.since(cove.Version(req.Version)); ok {
+		resp.Deltas = deltasOf(entries)
+		return resp, nil
+	}
+	data, err := f.encoded()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	resp.Snapshot = data
+	return resp, nil
+}
+
+// Notify implements peerpb.ConfigHandler.
+func (s *server) Notify(ctx context.Context, req *peerpb.NotifyRequest) (*peerpb.NotifyResponse, error) {
+	f := s.feed
+	f.count("notified")
+	var err error
+	if req.Delta != nil {
+		err = f.advance(entriesOf([]*peerpb.ConfigDelta{req.Delta}), nil, req.Sender.GetHost())
+	}
+	from, authenticated := cove.PeerFrom(ctx)
+	if err == nil && cove.Version(req.Version) > f.current().version() || errors.Is(err, errGap) {
+		if !authenticated {
+			return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("no peer"))
+		}
+		err = f.fetch(ctx, from)
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return &peerpb.NotifyResponse{Version: uint64(f.current().version())}, nil
+}
+
+// errNewerFormat means that this release would drop fields that it does not
+// know.
+var errNewerFormat = errors.New("the tables were written by a newer release")
+
+// encoded returns the version in force as a snapshot. It is kept until the next
+// version, because several hosts may ask for it.
+func (f *Feed) encoded() ([]byte, error) {
+	f.mu.Lock()
+	cur, data := f.cur, f.snap
+	f.mu.Unlock()
+	if data != nil {
+		return data, nil
+	}
+	if cur.table == nil {
+		return nil, errors.New("no table")
+	}
+	if cur.format > table.Format {
+		return nil, errNewerFormat
+	}
+	data, err := table.EncodeSnapshot(cur.table, cur.chain)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cur.chain == cur.chain {
+		f.snap = data
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/state/feed/tree.go
@@ -0,0 +1,125 @@
+package feed
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"turmericcove.org/cove"
+)
+
+// followFanout is the number of children of a host in the tree of its failure
+// domain. With 3, a domain of 40 hosts is 3 levels deep.
+const followFanout = 3
+
+// tree is this host's view of the order of hosts.
+type tree struct {
+	// rank is this host's place among the live hosts of its domain.
+	rank int
+	// domain holds the live hosts of the domain in order, with this one.
+	domain []cove.HostID
+	// firsts holds the first live hosts of the other domains.
+	firsts []cove.HostID
+}
+
+func (f *Feed) tree() tree {
+	t := tree{domain: []cove.HostID{f.Self.ID}}
+	others := make(map[cove.Domain]cove.HostID)
+	for _, m := range f.Members.Snapshot() {
+		switch {
+		case m.ID == f.Self.ID || m.State != cove.HostLive:
+		case m.Domain == f.Self.Domain:
+			t.domain = append(t.domain, m.ID)
+		default:
+			if first, ok := others[m.Domain]; !ok || m.ID < first {
+				others[m.Domain] = m.ID
+			}
+		}
+	}
+	slices.Sort(t.domain)
+	t.rank = slices.Index(t.domain, f.Self.ID)
+	for _, d := range sortedKeys(others) {
+		t.firsts = append(t.firsts, others[d])
+	}
+	return t
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// sources returns the hosts that this one may follow, best first: its parent
+// and the hosts above it, the next hosts of the domain, and the first hosts of
+// other domains, beginning at a different one for each domain.
+func (t tree) sources() []cove.HostID {
+	var out []cove.HostID
+	for r := t.rank; r > 0; {
+		r = (r - 1) / followFanout
+		out = append(out, t.domain[r])
+	}
+	for r := 1; r <= standbyRanks && r < len(t.domain); r++ {
+		if id := t.domain[r]; r != t.rank && !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return append(out, t.firsts...)
+}
+
+// learnDomains remembers the failure domains that have had hosts. A domain
+// that is cut off stays known, although its hosts are gone from the live set.
+func (f *Feed) learnDomains() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.Members.Snapshot() {
+		f.known[m.Domain] = true
+	}
+}
+
+// chase fetches a version that heartbeats have announced, if it was already
+// missing at the last round; normally it arrives through the tree before.
+func (f *Feed) chase(ctx context.Context) {
+	have := f.current().version()
+	newest, hosts := f.announced(have)
+	f.mu.Lock()
+	late := f.behind > have
+	f.behind = newest
+	f.mu.Unlock()
+	if !late || len(hosts) == 0 {
+		return
+	}
+	pick := int(f.Self.Incarnation[0]) + int(f.seq.Add(1))
+	if err := f.fetch(ctx, hosts[pick%len(hosts)]); err != nil {
+		f.count("fetchFailed")
+	}
+}
+
+// announced returns the highest announced version above have and its holders.
+func (f *Feed) announced(have cove.Version) (cove.Version, []cove.HostID) {
+	newest := have
+	var hosts []cove.HostID
+	add := func(v cove.Version, id cove.HostID) {
+		if v <= have || id == f.Self.ID {
+			return
+		}
+		newest = max(newest, v)
+		hosts = append(hosts, id)
+	}
+	for _, m := range f.Members.Snapshot() {
+		if m.State != cove.HostGone {
+			add(m.Version, m.ID)
+		}
+	}
+	for _, scope := range []cove.Scope{cove.ScopeDomain, cove.ScopeFleet} {
+		for _, n := range f.Board.Notes(scope, noteTopic) {
+			if s, ok := parseNote(n.Value); ok {
+				add(s.version, n.Host)
+			}
+		}
+	}
+	return newest, hosts
+}
--- /dev/null
+++ b/internal/state/store/rows.go
@@ -0,0 +1,58 @@
+package store
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"turmericcove.org/cove"
+)
+
+// Get implements cove.TableStore.
+func (c *Client) Get(ctx context.Context, key string) (cove.Row, error) {
+	var row cove.Row
+	err := c.get(ctx, "/v1/row", url.Values{"key": {key}}, &row)
+	return row, err
+}
+
+// GetIfChanged returns a row unless its revision is still the given one. It
+// saves the transfer of a row that is polled.
+func (c *Client) GetIfChanged(ctx context.Context, key string, revision uint64) (row cove.Row, changed bool, err error) {
+	c.count("reads")
+	query := url.Values{"key": {key}, "ifNot": {strconv.FormatUint(revision, 10)}}
+	r, err := c.do(ctx, request{
+		method: http.MethodGet, path: "/v1/row", query: query,
+		timeout: c.timeout(), limit: maxAnswerBytes,
+	})
+	if err != nil {
+		return cove.Row{}, false, err
+	}
+	switch r.status {
+	case http.StatusNotModified:
+		return cove.Row{}, false, nil
+	case http.StatusOK:
+		err = unmarshal(r.body, &row)
+		return row, err == nil, err
+	}
+	return cove.Row{}, false, c.statusError(r)
+}
+
+// List implements cove.TableStore.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]cove.Row, error) {
+	var out struct {
+		Rows []cove.Row `json:"rows"`
+	}
+	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	err := c.get(ctx, "/v1/rows", query, &out)
+	return out.Rows, err
+}
+
+// Hosts implements cove.HostList.
+func (c *Client) Hosts(ctx context.Context) ([]cove.ListedHost, error) {
+	var out struct {
+		Hosts []cove.ListedHost `json:"hosts"`
+	}
+	err := c.get(ctx, "/v1/hosts", nil, &out)
+	return out.Hosts, err
+}
--- /dev/null
+++ b/internal/state/table/codec.go
@@ -0,0 +1,227 @@
+package table
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+)
+
+// Format is the version of the codec. A reader accepts the next one as well
+// and ignores the fields that it does not know; it must not write then, because
+// it would drop them.
+const Format = 1
+
+// Bounds on what a reader accepts.
+const (
+	maxHeaderBytes = 1024
+	maxBodyBytes   = 256 << 20
+)
+
+const (
+	deltaKind    = "cove-delta"
+	snapshotKind = "cove-snapshot"
+)
+
+// ErrDamaged means that a delta or snapshot cannot be read.
+var ErrDamaged = errors.New("damaged")
+
+// Chain identifies a version together with the history that led to it. The
+// zero value is the chain of the empty table.
+type Chain [sha256.Size]byte
+
+// Next returns the chain after the delta.
+func (c Chain) Next(delta []byte) Chain {
+	h := sha256.New()
+	h.Write(c[:])
+	h.Write(delta)
+	var out Chain
+	h.Sum(out[:0])
+	return out
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (c Chain) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, c[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *Chain) UnmarshalText(b []byte) error {
+	if hex.DecodedLen(len(b)) != len(c) {
+		return errors.Errorf("chain of %d digits", len(b))
+	}
+	_, err := hex.Decode(c[:], b)
+	return err
+}
+
+// Delta is one version as a change of the version before.
+type Delta struct {
+	Format  int          `json:"format"`
+	Version cove.Version `json:"version"`
+	Author  string       `json:"author,omitempty"`
+	Reason  string       `json:"reason,omitempty"`
+	Time    time.Time    `json:"time"`
+	Changes Changes      `json:"changes"`
+}
+
+// Snapshot is a whole table.
+type Snapshot struct {
+	Format int
+	Table  *cove.Table
+	Chain  Chain
+}
+
+// header is the first line of the encoded form, before the compressed body.
+type header struct {
+	Kind    string       `json:"kind"`
+	Format  int          `json:"format"`
+	Version cove.Version `json:"version"`
+	Chain   *Chain       `json:"chain,omitempty"`
+	// Sum is the SHA-256 of the compressed body.
+	Sum Chain `json:"sum"`
+}
+
+// siteBlocks are the client blocks of a site.
+type siteBlocks struct {
+	Site     cove.Site      `json:"site"`
+	Prefixes []netip.Prefix `json:"prefixes"`
+}
+
+// snapshotBody replaces the blocks of a table by shorter lists by site.
+type snapshotBody struct {
+	cove.Table
+	Blocks []siteBlocks `json:"blocks,omitempty"`
+}
+
+// EncodeDelta returns the delta in the present format.
+func EncodeDelta(d *Delta) ([]byte, error) {
+	d.Format = Format
+	return encode(header{Kind: deltaKind, Format: Format, Version: d.Version}, d)
+}
+
+// DecodeDelta reads a delta of the present format or the next one.
+func DecodeDelta(data []byte) (*Delta, error) {
+	d := new(Delta)
+	h, err := decode(data, deltaKind, d)
+	if err != nil {
+		return nil, err
+	}
+	d.Format = h.Format
+	if d.Version != h.Version || d.Version == 0 {
+		return nil, errors.Wrap(ErrDamaged, "delta version")
+	}
+	return d, nil
+}
+
+// EncodeSnapshot returns a normalized table in the present format.
+func EncodeSnapshot(t *cove.Table, chain Chain) ([]byte, error) {
+	body := snapshotBody{Table: *t, Blocks: groupBlocks(t.Blocks)}
+	body.Table.Blocks = nil
+	return encode(header{Kind: snapshotKind, Format: Format, Version: t.Version, Chain: &chain}, &body)
+}
+
+// DecodeSnapshot reads a snapshot of the present format or the next one.
+func DecodeSnapshot(data []byte) (*Snapshot, error) {
+	var body snapshotBody
+	h, err := decode(data, snapshotKind, &body)
+	if err != nil {
+		return nil, err
+	}
+	if h.Chain == nil || body.Version != h.Version || h.Version == 0 {
+		return nil, errors.Wrap(ErrDamaged, "snapshot version")
+	}
+	t := body.Table
+	t.Blocks = ungroupBlocks(body.Blocks)
+	return &Snapshot{Format: h.Format, Table: Normalize(&t), Chain: *h.Chain}, nil
+}
+
+func groupBlocks(blocks []cove.Block) []siteBlocks {
+	index := make(map[cove.Site]int)
+	var out []siteBlocks
+	for i := range blocks {
+		n, ok := index[blocks[i].Site]
+		if !ok {
+			n = len(out)
+			index[blocks[i].Site] = n
+			out = append(out, siteBlocks{Site: blocks[i].Site})
+		}
+		out[n].Prefixes = append(out[n].Prefixes, blocks[i].Prefix)
+	}
+	return out
+}
+
+func ungroupBlocks(groups []siteBlocks) []cove.Block {
+	n := 0
+	for _, g := range groups {
+		n += len(g.Prefixes)
+	}
+	if n == 0 {
+		return nil
+	}
+	out := make([]cove.Block, 0, n)
+	for _, g := range groups {
+		for _, p := range g.Prefixes {
+			out = append(out, cove.Block{Prefix: p, Site: g.Site})
+		}
+	}
+	return out
+}
+
+func encode(h header, body any) ([]byte, error) {
+	var packed bytes.Buffer
+	zw := gzip.NewWriter(&packed)
+	if err := json.NewEncoder(zw).Encode(body); err != nil {
+		return nil, errors.Wrap(err, "encode "+h.Kind)
+	}
+	if err := zw.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress "+h.Kind)
+	}
+	h.Sum = sha256.Sum256(packed.Bytes())
+	line, err := json.Marshal(h)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode header")
+	}
+	out := make([]byte, 0, len(line)+1+packed.Len())
+	out = append(out, line...)
+	out = append(out, '\n')
+	return append(out, packed.Bytes()...), nil
+}
+
+func decode(data []byte, kind string, body any) (header, error) {
+	var h header
+	end := bytes.IndexByte(data[:min(len(data), maxHeaderBytes)], '\n')
+	if end < 0 {
+		return h, errors.Wrap(ErrDamaged, "no header")
+	}
+	if err := json.Unmarshal(data[:end], &h); err != nil {
+		return h, errors.Wrap(ErrDamaged, err.Error())
+	}
+	if h.Kind != kind {
+		return h, errors.Wrapf(ErrDamaged, "kind %q, want %q", h.Kind, kind)
+	}
+	if h.Format < 1 || h.Format > Format+1 {
+		return h, errors.Errorf("%s has format %d; this release reads up to %d", kind, h.Format, Format+1)
+	}
+	packed := data[end+1:]
+	if h.Sum != sha256.Sum256(packed) {
+		return h, errors.Wrap(ErrDamaged, "sum of the body")
+	}
+	zr, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return h, errors.Wrap(ErrDamaged, err.Error())
+	}
+	limited := io.LimitReader(bufio.NewReader(zr), maxBodyBytes)
+	if err := json.NewDecoder(limited).Decode(body); err != nil {
+		return h, errors.Wrap(ErrDamaged, err.Error())
+	}
+	return h, nil
+}
