Add slot division, admission, health and ramp

Cause: the request path needs admission against slots that no two hosts use at the same time. Change: slot divides slots by announcements over the board; admit queues, forwards and counts links; health judges backend servers; ramp bounds moved requests per second.

--- /dev/null
+++ b/internal/limit/admit/permit.go
@@ -0,0 +1,102 @@
+package admit
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+// permit is the right to run one attempt.
+type permit struct {
+	pool   *pool
+	server *server // nil when the request is forwarded
+	link   *link   // nil inside the region
+	bytes  int64   // charged to the link
+	peer   cove.HostID
+	target cove.Target
+	sent   atomic.Bool
+	ended  atomic.Bool
+}
+
+var _ cove.Permit = (*permit)(nil)
+
+// Target implements cove.Permit.
+func (pm *permit) Target() cove.Target { return pm.target }
+
+// Sent implements cove.Permit.
+func (pm *permit) Sent() { pm.sent.Store(true) }
+
+// Done implements cove.Permit. Calls after the first one have no effect, so
+// that a fault of a caller cannot free a slot twice.
+func (pm *permit) Done(res cove.Result) {
+	if pm.ended.Swap(true) {
+		return
+	}
+	if pm.server != nil {
+		pm.pool.finish(pm.server, res, true)
+		return
+	}
+	pm.pool.finishRemote(pm, res)
+}
+
+// drop gives back a permit that its request does not use.
+func (pm *permit) drop() {
+	if pm.ended.Swap(true) {
+		return
+	}
+	if pm.server != nil {
+		pm.pool.finish(pm.server, cove.Result{}, false)
+		return
+	}
+	pm.pool.finishRemote(pm, cove.Result{Canceled: true})
+}
+
+// finishRemote records how a forwarded request ended.
+func (p *pool) finishRemote(pm *permit, res cove.Result) {
+	now := p.a.Clock.Now()
+	if pm.link != nil && (res.Bytes > 0 || !pm.sent.Load()) {
+		// The charge stays when the size of a sent request is unknown.
+		pm.link.correct(now, res.Bytes-pm.bytes)
+	}
+	if res.Canceled {
+		return
+	}
+	reason := refusalReason(res.Err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pm.target.Domain == p.a.Self.Domain {
+		if reason != "" {
+			p.peerFull(pm.peer)
+		}
+		return
+	}
+	p.domains.Done(pm.target.Domain, res.Shed || reason != "")
+	if reason == cove.ReasonShiftCap {
+		p.closeRamp(pm.target.Domain, now)
+	}
+}
+
+// closeRamp keeps moved requests away from a domain until the next second, in
+// which its ramp admits more.
+func (p *pool) closeRamp(d cove.Domain, now time.Time) {
+	for i := range p.rooms {
+		if p.rooms[i].domain == d {
+			p.rooms[i].rampClosed = now.Truncate(time.Second).Add(time.Second)
+		}
+	}
+}
+
+// refusalReason returns the reason of a refusal by the receiving host, empty
+// when the request was not refused there.
+func refusalReason(err error) cove.Reason {
+	if err == nil {
+		return ""
+	}
+	var ref *cove.Refusal
+	if errors.As(err, &ref) {
+		return ref.Reason
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/limit/admit/pool.go
@@ -0,0 +1,336 @@
+package admit
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/ramp"
+	"turmericcove.org/cove/internal/limit/slot"
+	"turmericcove.org/cove/internal/route/health"
+	"turmericcove.org/cove/internal/route/pick"
+)
+
+const (
+	// serviceDecay is the weight of one request in the mean service time.
+	serviceDecay = 0.05
+	// finishMargin multiplies the expected time of a request that is compared
+	// with its deadline. The expectation is a mean, so a smaller margin would
+	// refuse work that half of the time ends before its deadline.
+	finishMargin = 1.0
+)
+
+// server is a backend server on which this host may hold slots.
+type server struct {
+	row    cove.Server
+	key    uint64
+	health *health.Server
+	listed bool // in the table, in a domain that this host serves
+	held   int
+	inUse  int
+	at     int // index in pool.cs
+}
+
+// pool is the state of a pool at this host.
+type pool struct {
+	name cove.PoolName
+	seed uint64
+	a    *Admitter
+	ramp ramp.Ramp
+	part int // of the shift cap, as last set
+
+	mu      sync.Mutex
+	row     *cove.Pool
+	servers map[cove.ServerID]*server
+	// cs and order describe the same servers; the first free of them have room.
+	cs    []cove.Candidate
+	order []*server
+	free  int
+	// limit is the number of requests that this host may run at once, used the
+	// number that it runs.
+	limit   int
+	used    int
+	queue   queue
+	service time.Duration
+	domains pick.Domains
+	rooms   []room
+	remote  []cove.Candidate // parallel to rooms
+	peers   []peerRoom
+}
+
+// refresh brings the candidates up to date with the judgement of health.
+func (p *pool) refresh(now time.Time) {
+	for _, s := range slices.Clone(p.order) {
+		p.update(s, now)
+	}
+	p.queue.max = max(queueMin, queueFactor*p.limit)
+}
+
+// update recomputes the candidate of a server after a change.
+func (p *pool) update(s *server, now time.Time) {
+	st := s.health.State(now)
+	c := &p.cs[s.at]
+	before := c.Limit
+	c.Limit = s.held
+	if st.Limit > 0 {
+		c.Limit = min(s.held, st.Limit)
+	}
+	if st.Draining || st.Health == 0 || !s.listed {
+		c.Limit = 0
+	}
+	p.limit += c.Limit - before
+	c.Health = st.Health
+	c.Load = st.Load
+	c.LoadAge = st.LoadAge
+	c.Latency = st.Latency
+	c.Outstanding = s.inUse
+	c.Free = max(0, c.Limit-s.inUse)
+	p.place(s)
+}
+
+// place moves a server to the right side of the border between those with
+// room and those without.
+func (p *pool) place(s *server) {
+	free := p.cs[s.at].Free > 0
+	switch {
+	case free && s.at >= p.free:
+		p.swap(s.at, p.free)
+		p.free++
+	case !free && s.at < p.free:
+		p.free--
+		p.swap(s.at, p.free)
+	}
+}
+
+func (p *pool) swap(i, j int) {
+	p.cs[i], p.cs[j] = p.cs[j], p.cs[i]
+	p.order[i], p.order[j] = p.order[j], p.order[i]
+	p.order[i].at = i
+	p.order[j].at = j
+}
+
+// choose returns a server with room that is not excluded, or nil.
+func (p *pool) choose(work *cove.WorkClass, ex *cove.Exclude, now time.Time) *server {
+	if p.free == 0 {
+		return nil
+	}
+	for _, id := range ex.Servers {
+		if s := p.servers[id]; s != nil && s.at < p.free {
+			p.cs[s.at].Health = 0
+		}
+	}
+	i := p.a.Policy.Pick(p.cs[:p.free], work, now)
+	var s *server
+	if i >= 0 && !slices.Contains(ex.Servers, p.cs[i].Server) {
+		s = p.order[i]
+	}
+	for _, id := range ex.Servers {
+		if s := p.servers[id]; s != nil {
+			p.update(s, now)
+		}
+	}
+	return s
+}
+
+// grant gives a slot of a server to a request.
+func (p *pool) grant(s *server, moved bool, now time.Time) *permit {
+	s.inUse++
+	p.used++
+	c := &p.cs[s.at]
+	c.Outstanding = s.inUse
+	c.Free = max(0, c.Limit-s.inUse)
+	p.place(s)
+	s.health.Begin()
+	return &permit{
+		pool:   p,
+		server: s,
+		target: cove.Target{
+			Server: s.row.ID,
+			Addr:   s.row.Addr,
+			Pool:   p.name,
+			Domain: s.row.Domain,
+			Moved:  moved,
+		},
+	}
+}
+
+// admitLocal admits a request to a server now, or returns nil when it has to
+// wait. It returns a refusal when the ramp does not allow a moved request.
+func (p *pool) admitLocal(work *cove.WorkClass, ex *cove.Exclude, moved bool, now time.Time) (*permit, *cove.Refusal) {
+	s := p.choose(work, ex, now)
+	if s == nil {
+		return nil, nil
+	}
+	if moved && !p.rampTake(now) {
+		return nil, cove.Refuse(http.StatusServiceUnavailable, cove.ReasonShiftCap, "the pool takes up moved requests no faster")
+	}
+	return p.grant(s, moved, now), nil
+}
+
+func (p *pool) rampTake(now time.Time) bool {
+	return p.row.ShiftCap <= 0 || p.ramp.Take(now)
+}
+
+// finish returns the slot of a request and hands it to the next waiter.
+func (p *pool) finish(s *server, res cove.Result, ran bool) {
+	now := p.a.Clock.Now()
+	if ran {
+		s.health.Done(now, res)
+	} else {
+		s.health.Done(now, cove.Result{Canceled: true})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.inUse--
+	p.used--
+	if ran && res.Err == nil && !res.Shed && !res.Canceled && !res.Silent {
+		p.measure(res.Latency)
+	}
+	if s.at < 0 {
+		p.forget(s)
+		return
+	}
+	p.update(s, now)
+	p.dispatch(now)
+}
+
+// measure updates the mean service time.
+func (p *pool) measure(d time.Duration) {
+	if p.service == 0 {
+		p.service = d
+	}
+	p.service += time.Duration(serviceDecay * float64(d-p.service))
+}
+
+// dispatch gives free slots to waiters.
+func (p *pool) dispatch(now time.Time) {
+	for p.free > 0 {
+		w := p.queue.pop()
+		if w == nil {
+			return
+		}
+		w.done <- p.resolve(w, now)
+	}
+}
+
+// resolve decides about a waiter whose turn has come.
+func (p *pool) resolve(w *waiter, now time.Time) outcome {
+	if late(w.work.Deadline, now, p.service) {
+		return outcome{refusal: refuseDeadline()}
+	}
+	pm, ref := p.admitLocal(&w.work, &w.ex, w.moved, now)
+	if pm == nil && ref == nil {
+		ref = refuseNoRoom("all backend servers with room have been tried")
+	}
+	return outcome{permit: pm, refusal: ref}
+}
+
+// expire refuses waiters that cannot finish in time any more.
+func (p *pool) expire(now time.Time) {
+	for _, l := range p.queue.levels {
+		for _, t := range l.teams {
+			for w := t.head; w != nil; {
+				next := w.next
+				if late(w.work.Deadline, now, p.service) {
+					p.queue.remove(w)
+					w.done <- outcome{refusal: refuseDeadline()}
+				}
+				w = next
+			}
+		}
+	}
+}
+
+// wait returns the expected time until a new request gets a slot here, and
+// false when no slot will get free.
+func (p *pool) wait(work *cove.WorkClass) (time.Duration, bool) {
+	if p.limit == 0 {
+		return 0, false
+	}
+	ahead := p.queue.ahead(work) + 1
+	return time.Duration(ahead * float64(p.service) / float64(p.limit)), true
+}
+
+// late reports whether work that takes d cannot end before the deadline.
+func late(deadline, now time.Time, d time.Duration) bool {
+	if deadline.IsZero() {
+		return false
+	}
+	return now.Add(time.Duration(finishMargin * float64(d))).After(deadline)
+}
+
+func refuseDeadline() *cove.Refusal {
+	return cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "the request cannot finish before its deadline")
+}
+
+func refuseNoRoom(detail string) *cove.Refusal {
+	return cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, detail)
+}
+
+// setServers takes over the table's servers of the domains that this host may
+// serve.
+func (p *pool) setServers(row *cove.Pool, mayServe func(cove.Domain) bool) {
+	p.row = row
+	for _, s := range p.servers {
+		s.listed = false
+	}
+	for i := range row.Servers {
+		sr := row.Servers[i]
+		if !mayServe(sr.Domain) {
+			continue
+		}
+		s := p.servers[sr.ID]
+		if s == nil {
+			s = &server{key: slot.Key(p.name, sr.ID), health: p.a.Health.Server(p.name, sr.ID)}
+			p.servers[sr.ID] = s
+		}
+		s.row = sr
+		s.listed = true
+	}
+	p.rebuild()
+}
+
+// rebuild makes the candidates anew. Servers that have left the table stay
+// known while they have work, so that their slots remain counted.
+func (p *pool) rebuild() {
+	p.cs = p.cs[:0]
+	p.order = p.order[:0]
+	p.free = 0
+	p.limit = 0
+	for _, s := range p.servers {
+		if !s.listed {
+			s.at = -1
+			p.forget(s)
+		}
+	}
+	for i := range p.row.Servers {
+		s := p.servers[p.row.Servers[i].ID]
+		if s == nil || !s.listed {
+			continue
+		}
+		s.at = len(p.cs)
+		p.cs = append(p.cs, cove.Candidate{Server: s.row.ID, Domain: s.row.Domain})
+		p.order = append(p.order, s)
+	}
+}
+
+// forget drops a server that is in no table and has no work.
+func (p *pool) forget(s *server) {
+	if s.inUse == 0 {
+		delete(p.servers, s.row.ID)
+	}
+}
+
+// fits reports whether the work in progress fits into the held slots.
+func (p *pool) fits(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.inUse > s.held {
+			return false
+		}
+	}
+	return p.ramp.Quiet(now)
+}
--- /dev/null
+++ b/internal/limit/admit/room.go
@@ -0,0 +1,240 @@
+package admit
+
+import (
+	"bytes"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/ramp"
+	"turmericcove.org/cove/internal/limit/slot"
+)
+
+// peerExpiry is the age at which a report of another host of the domain is
+// ignored.
+const peerExpiry = 5 * time.Second
+
+// exchangeRooms posts the room of this host and domain, and takes over the room
+// that others report.
+func (a *Admitter) exchangeRooms(pl *plan, now time.Time) {
+	own := a.ownRooms(pl)
+	peers := a.Board.Notes(cove.ScopeDomain, topicRoom)
+	sums := make(map[uint32]roomEntry, len(own))
+	for _, e := range own {
+		sums[e.pool] = e
+	}
+	byPool := make(map[uint32][]peerRoom)
+	for _, n := range peers {
+		if n.Age > peerExpiry {
+			continue
+		}
+		for _, e := range decodeRooms(n.Value) {
+			byPool[e.pool] = append(byPool[e.pool], peerRoom{host: n.Host, free: e.free, version: n.Value})
+			sum := sums[e.pool]
+			sum.pool = e.pool
+			sum.free += e.free
+			sum.limit += e.limit
+			sum.queued += e.queued
+			sums[e.pool] = sum
+		}
+	}
+	all := make([]roomEntry, 0, len(sums))
+	for _, e := range sums {
+		all = append(all, e)
+	}
+	a.report(a.Board.Post(cove.ScopeDomain, topicRoom, encodeRooms(own)))
+	a.report(a.Board.Post(cove.ScopeFleet, topicRoom, encodeRooms(all)))
+	hosts, live := a.liveHosts()
+	remote := a.remoteRooms()
+	for _, p := range pl.pools {
+		p.mu.Lock()
+		p.setPeers(byPool[poolHash(p.name)], live)
+		p.setRemote(pl, a.Self, hosts, remote)
+		p.mu.Unlock()
+	}
+}
+
+// ownRooms returns what this host itself has free. A stopping host has nothing.
+func (a *Admitter) ownRooms(pl *plan) []roomEntry {
+	var out []roomEntry
+	for _, p := range pl.pools {
+		p.mu.Lock()
+		e := roomEntry{pool: poolHash(p.name), limit: max(0, p.limit), queued: p.queue.n}
+		e.free = max(0, p.limit-p.used-p.queue.n)
+		p.mu.Unlock()
+		if a.stopping.Load() || a.paused.Load() {
+			e.free, e.limit = 0, 0
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// liveHosts returns the live hosts by domain, and all of them as a set.
+func (a *Admitter) liveHosts() (map[cove.Domain][]cove.HostID, map[cove.HostID]bool) {
+	hosts := make(map[cove.Domain][]cove.HostID)
+	live := make(map[cove.HostID]bool)
+	for _, m := range a.Members.Snapshot() {
+		if m.State == cove.HostLive && m.ID != a.Self.ID {
+			hosts[m.Domain] = append(hosts[m.Domain], m.ID)
+			live[m.ID] = true
+		}
+	}
+	return hosts, live
+}
+
+// report is the room that a domain reports for its pools.
+type report struct {
+	age     time.Duration
+	entries []roomEntry
+}
+
+func (a *Admitter) remoteRooms() map[cove.Domain]report {
+	out := make(map[cove.Domain]report)
+	for _, n := range a.Board.Notes(cove.ScopeFleet, topicRoom) {
+		out[n.Domain] = report{age: n.Age, entries: decodeRooms(n.Value)}
+	}
+	return out
+}
+
+// setPeers replaces the room of the other hosts of the domain. A host whose
+// report is the same as before keeps the room that own sends have left.
+func (p *pool) setPeers(next []peerRoom, live map[cove.HostID]bool) {
+	kept := next[:0]
+	for _, n := range next {
+		if !live[n.host] {
+			continue
+		}
+		for i := range p.peers {
+			old := &p.peers[i]
+			if old.host == n.host && bytes.Equal(old.version, n.version) {
+				n.free = min(n.free, old.free)
+			}
+		}
+		kept = append(kept, n)
+	}
+	p.peers = kept
+}
+
+// setRemote brings the candidates among other domains up to date.
+func (p *pool) setRemote(pl *plan, self cove.Self, hosts map[cove.Domain][]cove.HostID, reports map[cove.Domain]report) {
+	old := p.rooms
+	p.rooms = nil
+	p.remote = p.remote[:0]
+	// All hosts of the domain read the same reports, so each uses its part.
+	p.domains.Share = 1 / float64(len(hosts[self.Domain])+1)
+	seen := make(map[cove.Domain]bool)
+	for i := range p.row.Servers {
+		d := p.row.Servers[i].Domain
+		if d == self.Domain || seen[d] || len(hosts[d]) == 0 {
+			continue
+		}
+		seen[d] = true
+		r := room{domain: d, region: pl.regions[d], hosts: hosts[d]}
+		for k := range old {
+			if old[k].domain == d {
+				r.rampClosed = old[k].rampClosed
+			}
+		}
+		p.rooms = append(p.rooms, r)
+		p.remote = append(p.remote, p.candidate(&r, self, reports[d]))
+	}
+}
+
+// candidate describes a domain. Without a report it has no room, and gets
+// probes only.
+func (p *pool) candidate(r *room, self cove.Self, rep report) cove.Candidate {
+	c := cove.Candidate{Domain: r.domain, Limit: 1, Health: 1, Distance: farDistance, LoadAge: rep.age}
+	if r.region == self.Region {
+		c.Distance = nearDistance
+	}
+	for _, e := range rep.entries {
+		if e.pool == poolHash(p.name) {
+			c.Free = max(0, e.free-e.queued)
+			c.Limit = max(1, e.limit)
+		}
+	}
+	return c
+}
+
+// applyPart sets this host's part of the pool's shift cap. The cap is divided
+// evenly between the domains of the region that have servers of the pool, and
+// inside a domain like slots. A part that grows because hosts have changed is
+// used only when nothing that its former holder has lent is in use any more.
+func (a *Admitter) applyPart(pl *plan, p *pool, now time.Time) {
+	units, ok := p.domainCap(pl, a.Self)
+	if !ok {
+		p.ramp.SetPart(now, 0)
+		return
+	}
+	part := a.holder.Held(a.Self.Domain, slot.Key(p.name, "shiftCap"), units)
+	if part > p.part && now.Sub(a.changed) < ramp.LoanHorizon {
+		return
+	}
+	p.part = part
+	p.ramp.SetPart(now, part)
+}
+
+// domainCap returns the part of the shift cap that belongs to the own domain.
+func (p *pool) domainCap(pl *plan, self cove.Self) (int, bool) {
+	index, n := -1, 0
+	for _, d := range pl.table.Domains {
+		if d.Region != self.Region || !p.servesIn(d.Name) {
+			continue
+		}
+		if d.Name == self.Domain {
+			index = n
+		}
+		n++
+	}
+	if index < 0 {
+		return 0, false
+	}
+	units := p.row.ShiftCap / n
+	if index < p.row.ShiftCap%n {
+		units++
+	}
+	return units, true
+}
+
+func (p *pool) servesIn(d cove.Domain) bool {
+	for i := range p.row.Servers {
+		if p.row.Servers[i].Domain == d {
+			return true
+		}
+	}
+	return false
+}
+
+// exchangeRamps announces unmet demand and loans, and takes over those of the
+// other hosts of the domain.
+func (a *Admitter) exchangeRamps(pl *plan, now time.Time) {
+	self := hostHash(a.Self.ID)
+	wants := make(map[uint32][]ramp.Want)
+	loans := make(map[uint32][]ramp.Loan)
+	for _, n := range a.Board.Notes(cove.ScopeDomain, topicRamp) {
+		for _, e := range decodeRamps(n.Value) {
+			if e.want > 0 && n.Age < peerExpiry {
+				wants[e.pool] = append(wants[e.pool], ramp.Want{Host: hostHash(n.Host), Units: e.want})
+			}
+			if e.loan.Units > 0 && e.loan.To == self {
+				loans[e.pool] = append(loans[e.pool], e.loan)
+			}
+		}
+	}
+	var out []rampEntry
+	for _, p := range pl.pools {
+		if p.row.ShiftCap <= 0 {
+			continue
+		}
+		hash := poolHash(p.name)
+		p.ramp.Borrow(loans[hash])
+		_, want := p.ramp.Level(now)
+		if want > 0 {
+			out = append(out, rampEntry{pool: hash, want: min(want, maxCount)})
+		}
+		for _, l := range p.ramp.Lend(now, wants[hash]) {
+			out = append(out, rampEntry{pool: hash, loan: l})
+		}
+	}
+	a.report(a.Board.Post(cove.ScopeDomain, topicRamp, encodeRamps(out)))
+}
--- /dev/null
+++ b/internal/limit/slot/holder.go
@@ -0,0 +1,287 @@
+package slot
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+)
+
+// topic is the board topic of the notes.
+const topic = "slots"
+
+// Holder tells which slots this host may use. A change of the register passes
+// through these phases, each announced on the board:
+//
+//  1. The host sees the new view. It keeps its slots until all hosts of the
+//     view have seen it, unless the change costs it none.
+//  2. It begins to adopt the view: it starts no work on slots that the view
+//     gives to others, and announces the view once work on them has ended.
+//  3. It uses the slots that it gains when every other host of the view has
+//     announced the same view and has acknowledged this host's sequence number,
+//     so that the announcement is known to be newer than phase 2.
+//
+// Two hosts that hold the same slot under different views would each need an
+// announcement of the other that is newer than the start of its own adoption,
+// which is impossible. A host that is no longer registered is proved gone. A
+// host that is registered but silent blocks a change of the division, with one
+// exception: when only incarnations have changed, one host that has kept the
+// division without a break vouches for the silent ones, because none of them
+// could have left the division without its agreement.
+//
+// Holder is not safe for concurrent use.
+type Holder struct {
+	Self     cove.Self
+	Register cove.Register
+	Board    cove.Board
+
+	siblings []cove.Domain
+	pending  view
+	views    []view // the slots that all of them give to this host are held
+	adopted  bool   // work on other slots has ended
+	agreed   bool   // the newest view is in force at all its hosts
+	cleared  bool   // no other domain uses the slots of this one
+	kept     bool
+	released bool
+	seq      uint32
+	gone     map[cove.Incarnation]bool
+	posted   []byte
+	postedUp []byte
+}
+
+// SetSiblings names the other failure domains of the region.
+func (h *Holder) SetSiblings(domains []cove.Domain) {
+	h.siblings = slices.Clone(domains)
+	slices.Sort(h.siblings)
+}
+
+// Step reads the register and the notes of the other hosts, and announces the
+// own state. idle reports whether the work in progress fits into the slots that
+// are held; the caller must have applied the last change before. Step returns
+// whether the held slots have changed.
+func (h *Holder) Step(idle func() bool) (changed bool, err error) {
+	if h.released {
+		return false, h.post(nil)
+	}
+	notes := h.read()
+	h.pending = newView(h.Register.Registered(h.Self.Domain), h.gone, h.covered(), h.Self)
+	switch {
+	case h.stale() && h.mayAdopt(notes):
+		h.adopt()
+		changed = true
+	case h.newest() != nil && !h.adopted && idle():
+		h.adopted = true
+	}
+	if h.newest() != nil && !h.agreed && h.othersAgree(notes) {
+		h.agree()
+		changed = true
+	}
+	if !h.cleared && h.agreed && h.clear(notes) {
+		h.cleared = true
+		changed = true
+	}
+	return changed, h.post(notes)
+}
+
+// Release gives up all slots for good. The caller has to have ended all work.
+func (h *Holder) Release() error {
+	h.released = true
+	h.views = nil
+	return h.post(nil)
+}
+
+// Settled reports whether all hosts agree on the division of the register.
+func (h *Holder) Settled() bool { return h.agreed && h.cleared && !h.stale() }
+
+// Hosts returns the number of hosts that divide the slots, 0 before the first
+// view has been adopted.
+func (h *Holder) Hosts() int {
+	if v := h.newest(); v != nil {
+		return len(v.hosts)
+	}
+	return 0
+}
+
+// Held returns how many of a domain's slots with this key the host may use.
+func (h *Holder) Held(d cove.Domain, key uint64, slots int) int {
+	if len(h.views) == 0 || !h.cleared {
+		return 0
+	}
+	ranks := make([]int, len(h.views))
+	for k := range h.views {
+		ranks[k] = -1
+		if h.views[k].includes(h.Self.Domain, d) {
+			ranks[k] = h.views[k].rank(key)
+		}
+	}
+	held := 0
+	for i := range slots {
+		if h.holds(ranks, i) {
+			held++
+		}
+	}
+	return held
+}
+
+// holds reports whether slot i is this host's in all views, given its ranks.
+func (h *Holder) holds(ranks []int, i int) bool {
+	for k, rank := range ranks {
+		if rank < 0 || i%len(h.views[k].hosts) != rank {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Holder) newest() *view {
+	if len(h.views) == 0 {
+		return nil
+	}
+	return &h.views[len(h.views)-1]
+}
+
+// stale reports whether the register differs from the newest adopted view.
+func (h *Holder) stale() bool {
+	v := h.newest()
+	return v == nil || v.digest != h.pending.digest
+}
+
+// mayAdopt reports whether the pending view may replace the newest one.
+func (h *Holder) mayAdopt(notes map[cove.HostID]note) bool {
+	v := h.newest()
+	if v == nil {
+		return h.pending.self >= 0
+	}
+	if h.pending.self < 0 || h.pending.sameHosts(v) {
+		return true
+	}
+	for i, r := range h.pending.hosts {
+		n, ok := notes[r.ID]
+		if i != h.pending.self && (!ok || n.inc != r.Incarnation || n.seen != h.pending.digest) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Holder) adopt() {
+	v := h.newest()
+	switch {
+	case v == nil:
+		// A new incarnation holds nothing before the others agree. A view
+		// without this host in front expresses that.
+		h.views = []view{{self: -1}, h.pending}
+	case len(h.views) > 1 && h.pending.divides(v):
+		*v = h.pending
+	default:
+		h.kept = h.kept && h.pending.divides(v)
+		h.views = append(h.views, h.pending)
+	}
+	if h.pending.self < 0 {
+		h.cleared = false
+	}
+	h.seq++
+	h.adopted = false
+	h.agreed = false
+}
+
+// agree puts the newest view in force alone.
+func (h *Holder) agree() {
+	h.views = []view{*h.newest()}
+	h.agreed = true
+	h.kept = true
+}
+
+// othersAgree reports whether no other host of the newest view uses slots that
+// the view gives to this host.
+func (h *Holder) othersAgree(notes map[cove.HostID]note) bool {
+	v := h.newest()
+	if v.self < 0 {
+		return false
+	}
+	all, vouched := true, false
+	for i, r := range v.hosts {
+		if i == v.self {
+			continue
+		}
+		n, ok := notes[r.ID]
+		if !ok || n.inc != r.Incarnation || n.adopted != v.digest || n.acks[v.self] != h.seq {
+			all = false
+			continue
+		}
+		vouched = vouched || n.kept
+	}
+	return all || vouched
+}
+
+// read returns the notes of the other hosts and remembers released
+// incarnations.
+func (h *Holder) read() map[cove.HostID]note {
+	out := make(map[cove.HostID]note)
+	for _, raw := range h.Board.Notes(cove.ScopeDomain, topic) {
+		n, err := decodeNote(raw.Value)
+		if err != nil || raw.Host == h.Self.ID {
+			continue
+		}
+		if v := h.newest(); v != nil && n.adopted == v.digest && len(n.acks) != len(v.hosts) {
+			continue
+		}
+		out[raw.Host] = n
+		if n.released {
+			if h.gone == nil {
+				h.gone = make(map[cove.Incarnation]bool)
+			}
+			h.gone[n.inc] = true
+		}
+	}
+	return out
+}
+
+// post announces the state if it has changed.
+func (h *Holder) post(notes map[cove.HostID]note) error {
+	n := note{
+		inc:      h.Self.Incarnation,
+		released: h.released,
+		seen:     h.pending.digest,
+		seq:      h.seq,
+	}
+	if v := h.newest(); v != nil {
+		if len(v.hosts) > MaxHosts {
+			return errors.Errorf("%d hosts in domain %s, at most %d can divide slots", len(v.hosts), h.Self.Domain, MaxHosts)
+		}
+		n.kept = h.kept
+		n.active = h.agreed && h.cleared
+		if h.adopted {
+			n.adopted = v.digest
+			n.acks = acks(v, notes)
+		}
+	}
+	if err := h.spread(cove.ScopeDomain, topic, n.encode(), &h.posted); err != nil {
+		return err
+	}
+	return h.spread(cove.ScopeFleet, coverTopic, h.clearance(), &h.postedUp)
+}
+
+func acks(v *view, notes map[cove.HostID]note) []uint32 {
+	out := make([]uint32, len(v.hosts))
+	for i, r := range v.hosts {
+		if n, ok := notes[r.ID]; ok && n.inc == r.Incarnation {
+			out[i] = n.seq
+		}
+	}
+	return out
+}
+
+// spread posts a value that differs from the last one.
+func (h *Holder) spread(scope cove.Scope, name string, value []byte, last *[]byte) error {
+	if bytes.Equal(value, *last) {
+		return nil
+	}
+	if err := h.Board.Post(scope, name, value); err != nil {
+		return errors.Wrapf(err, "post note %s", name)
+	}
+	*last = value
+	return nil
+}
