--- /dev/null
+++ b/internal/fleet/member/isolate.go
@@ -0,0 +1,154 @@
+package member
+
+import (
+	"slices"
+
+	"turmericcove.org/cove"
+)
+
+// isolation notes whether this host hears nobody, and whether its domain hears
+// no other one. Neither is spread beyond the domain: the hosts outside may well
+// live.
+func (n *node) isolation() {
+	d := &n.detector
+	alone := n.knowsOthers() && n.silence(n.heard) >= aloneAfter
+	if alone != d.alone {
+		d.alone = alone
+		n.table.revision++
+		n.emit("member.alone", "no host heard", boolField(alone))
+	}
+	n.noteCutOff()
+	cut := n.domainCutOff()
+	if cut != d.cutOff {
+		d.cutOff = cut
+		n.table.revision++
+		n.emit("member.cutOff", "no other domain heard", boolField(cut))
+	}
+}
+
+func boolField(v bool) cove.Field {
+	if v {
+		return cove.Field{Name: "state", Value: "yes"}
+	}
+	return cove.Field{Name: "state", Value: "no"}
+}
+
+func (n *node) knowsOthers() bool {
+	return slices.ContainsFunc(n.table.names, func(name cove.Domain) bool {
+		return name != n.self.Domain || len(n.table.domain(name).hosts) > 1
+	})
+}
+
+// noteCutOff posts what this host has found as a gateway.
+func (n *node) noteCutOff() {
+	if n.rank < 0 {
+		return
+	}
+	others := slices.ContainsFunc(n.table.names, func(name cove.Domain) bool { return name != n.self.Domain })
+	cut := others && n.silence(n.heardOut, n.gatewaySince) >= aloneAfter
+	k := itemKey{kind: itemNote, name: string(n.self.ID), topic: cutOffTopic}
+	if n.saysCutOff(k) != cut {
+		value := []byte{0}
+		if cut {
+			value[0] = 1
+		}
+		n.postNote(cove.ScopeDomain, cutOffTopic, value, true)
+	}
+}
+
+func (n *node) saysCutOff(k itemKey) bool {
+	p := n.notes[k]
+	return p != nil && len(p.value) == 1 && p.value[0] == 1
+}
+
+// domainCutOff reports whether all gateways of this domain hear no other one.
+func (n *node) domainCutOff() bool {
+	gs := n.table.gateways(n.self.Domain)
+	for _, r := range gs {
+		if !n.saysCutOff(itemKey{kind: itemNote, name: string(r.ID), topic: cutOffTopic}) {
+			return false
+		}
+	}
+	return len(gs) > 0
+}
+
+// probeLost looks for hosts and domains that were reported as gone and may be
+// reachable again. Only those next to them in the ring do so.
+func (n *node) probeLost() {
+	if n.now.Sub(n.detector.lost) < probeInterval {
+		return
+	}
+	n.detector.lost = n.now
+	n.detector.turn++
+	var lost []cove.HostID
+	for id, r := range n.table.records {
+		if r.State == cove.HostGone && !r.shownUntil.IsZero() && r.Domain == n.self.Domain && n.nextTo(id) {
+			lost = append(lost, id)
+		}
+	}
+	n.probeTurn(lost)
+	if n.rank < 0 {
+		return
+	}
+	lost = nil
+	for name, d := range n.table.domains {
+		if len(d.hosts) > 0 && len(n.table.reachable(name)) == 0 && n.domainNextTo(name) {
+			lost = append(lost, d.hosts[n.detector.turn%len(d.hosts)].ID)
+		}
+	}
+	n.probeTurn(lost)
+}
+
+func (n *node) probeTurn(ids []cove.HostID) { n.probeTurnAt(ids, n.detector.turn) }
+
+// probeTurnAt probes one of several hosts, each in its turn.
+func (n *node) probeTurnAt(ids []cove.HostID, turn int) {
+	if len(ids) == 0 {
+		return
+	}
+	slices.Sort(ids)
+	n.probe(ids[turn%len(ids)])
+}
+
+// nextTo reports whether this host is the neighbour of the place that a host
+// would have in the ring.
+func (n *node) nextTo(id cove.HostID) bool {
+	hosts := n.table.domain(n.self.Domain).hosts
+	i, _ := slices.BinarySearchFunc(hosts, id, func(r *record, id cove.HostID) int { return compareIDs(r.ID, id) })
+	k := len(hosts)
+	if k == 0 {
+		return false
+	}
+	return hosts[i%k].ID == n.self.ID || hosts[(i+k-1)%k].ID == n.self.ID
+}
+
+func (n *node) domainNextTo(name cove.Domain) bool {
+	names := n.table.names
+	i, _ := slices.BinarySearch(names, name)
+	k := len(names)
+	if k == 0 {
+		return false
+	}
+	return names[i%k] == n.self.Domain || names[(i+k-1)%k] == n.self.Domain
+}
+
+// visible returns the state of a host as this process shows it.
+func (n *node) visible(r *record) cove.HostState {
+	if r.ID == n.self.ID {
+		if n.superseded {
+			return cove.HostGone
+		}
+		return n.state
+	}
+	if n.detector.alone || (n.detector.cutOff && r.Domain != n.self.Domain) {
+		return cove.HostGone
+	}
+	state := r.State
+	if state == cove.HostGone && n.now.Before(r.shownUntil) {
+		state = r.shown
+	}
+	if n.table.marked(r) && !n.now.Before(n.table.domain(r.Domain).markUntil) {
+		state = cove.HostGone
+	}
+	return state
+}
--- /dev/null
+++ b/internal/fleet/member/ring.go
@@ -0,0 +1,125 @@
+package member
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+const (
+	gatewaysPerDomain = 2
+	// ringPeriod is the interval of heartbeats to the next hosts and domains
+	// of a ring, chordPeriod that to the ones a square root of the ring away.
+	// With both, a ring of 28 is crossed in 5 steps.
+	ringPeriod  = 500 * time.Millisecond
+	chordPeriod = time.Second
+	// minChords is the smallest ring that has chords; in smaller ones they
+	// save no step.
+	minChords = 6
+)
+
+// target is a peer to which this host sends heartbeats.
+type target struct {
+	id     cove.HostID
+	period time.Duration
+	// watched targets are suspected when they fall silent.
+	watched bool
+}
+
+// distances returns the steps along a ring of n to a host's neighbours.
+func distances(n int) []int {
+	if n < 2 {
+		return nil
+	}
+	if n == 2 {
+		return []int{1}
+	}
+	ds := []int{1, n - 1}
+	if n >= minChords {
+		s := int(math.Round(math.Sqrt(float64(n))))
+		ds = append(ds, s, n-s)
+	}
+	return ds
+}
+
+func periodOf(i int) time.Duration {
+	if i < 2 {
+		return ringPeriod
+	}
+	return chordPeriod
+}
+
+// hostTargets returns this host's neighbours inside its domain.
+func (n *node) hostTargets() []target {
+	hosts := n.table.domain(n.self.Domain).hosts
+	at := slices.IndexFunc(hosts, func(r *record) bool { return r.ID == n.self.ID })
+	if at < 0 {
+		return nil
+	}
+	var out []target
+	for i, d := range distances(len(hosts)) {
+		r := hosts[(at+d)%len(hosts)]
+		out = append(out, target{id: r.ID, period: periodOf(i), watched: true})
+	}
+	return out
+}
+
+// domainTargets returns the hosts of neighbouring domains to which this host
+// speaks for its own. The first gateways of two domains speak to each other,
+// and so do the second ones.
+func (n *node) domainTargets() []target {
+	rank := n.gatewayRank()
+	names := n.table.names
+	at := slices.Index(names, n.self.Domain)
+	if rank < 0 || at < 0 {
+		return nil
+	}
+	var out []target
+	for i, d := range distances(len(names)) {
+		gs := n.table.gateways(names[(at+d)%len(names)])
+		if len(gs) == 0 {
+			continue
+		}
+		out = append(out, target{id: gs[min(rank, len(gs)-1)].ID, period: periodOf(i)})
+	}
+	return out
+}
+
+// neighbourDomains returns the domains that this host's domain watches.
+func (n *node) neighbourDomains() []cove.Domain {
+	names := n.table.names
+	at := slices.Index(names, n.self.Domain)
+	if at < 0 {
+		return nil
+	}
+	var out []cove.Domain
+	for _, d := range distances(len(names)) {
+		out = append(out, names[(at+d)%len(names)])
+	}
+	return out
+}
+
+// gatewayRank returns this host's position among the gateways of its domain,
+// or -1.
+func (n *node) gatewayRank() int {
+	return slices.IndexFunc(n.table.gateways(n.self.Domain), func(r *record) bool { return r.ID == n.self.ID })
+}
+
+// retarget recomputes the targets after a change of the table.
+func (n *node) retarget() {
+	if n.targetsAt == n.table.revision {
+		return
+	}
+	n.targetsAt = n.table.revision
+	n.targets = append(n.hostTargets(), n.domainTargets()...)
+	rank := n.gatewayRank()
+	if rank == 0 && n.rank != 0 {
+		n.queueOwnFleetNotes()
+	}
+	if rank >= 0 && n.rank < 0 {
+		n.gatewaySince = n.now
+	}
+	n.rank = rank
+}
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -20,6 +20,8 @@
 	// idleConnTimeout bounds the time that pings are sent on an unused
 	// connection.
 	idleConnTimeout = 15 * time.Second
+	// controlPingIdle closes control connections that were left behind silent.
+	controlPingIdle = 15 * time.Second
 	// steadyIdleTimeout suits connections that carry a message every few
 	// seconds and no pings.
 	steadyIdleTimeout  = 2 * time.Minute
@@ -34,7 +36,7 @@
 	// classData is for requests: pings find silent connections.
 	classData class = iota
 	// classControl is for messages at short intervals whose loss the sender
-	// notices itself; pings would cost more than the messages.
+	// notices itself; frequent pings would cost more than the messages.
 	classControl
 )
 
@@ -125,12 +127,11 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaders,
 		IdleConnTimeout:        steadyIdleTimeout,
-		HTTP2:                  &http.HTTP2Config{},
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: controlPingIdle, PingTimeout: pingWait},
 	}
 	if key.class == classData {
 		t.IdleConnTimeout = idleConnTimeout
 		t.HTTP2.SendPingTimeout = pingIdle
-		t.HTTP2.PingTimeout = pingWait
 	}
 	return &client{addr: addr, transport: t, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -77,8 +77,8 @@
 	return s.clients.get(clientKey{id, classData})
 }
 
-// Control returns a client for messages at short intervals. It sends no pings:
-// a caller that gets no answer in time calls Reset.
+// Control returns a client for messages at short intervals. It pings seldom: a
+// caller that gets no answer in time calls Reset.
 func (s *Service) Control(id cove.HostID) (*http.Client, string, error) {
 	return s.clients.get(clientKey{id, classControl})
 }
