Put the daemon together: kernel, admin port, command line, demo

Cause: the parts existed side by side, and no request could pass through them. Change: internal/ops/entry builds an entry host from its services, with the admin port, the status page and explain; internal/ops/cli is the command line; internal/bench/rig runs a fleet on loopback with delays and cuts from internal/bench/link; internal/ops/demo sends requests of each kind.

--- /dev/null
+++ b/internal/bench/rig/deploy.go
@@ -0,0 +1,105 @@
+// Package rig runs a small fleet with its platform and backend servers in one
+// process on loopback.
+package rig
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/examples"
+	"turmericcove.org/cove/internal/state/table"
+)
+
+// Deployment holds the delays and tables of a deployment.
+type Deployment struct {
+	Name string
+	// Domain, Region and Client are one-way delays between failure domains of
+	// a region, between regions, and to clients.
+	Domain time.Duration
+	Region time.Duration
+	Client time.Duration
+	// Store is the region of the platform's services.
+	Store cove.Region
+	Table *cove.Table
+}
+
+var delays = []Deployment{
+	{Name: "hyllkant", Domain: 3 * time.Millisecond, Region: 35 * time.Millisecond, Client: 3 * time.Millisecond, Store: "se-east"},
+	{Name: "hollowbrook", Domain: 5 * time.Millisecond, Region: 20 * time.Millisecond, Client: time.Millisecond, Store: "west-mids"},
+}
+
+// Load returns a deployment with the tables that ship with turmericcove.
+func Load(name string) (*Deployment, error) {
+	i := slices.IndexFunc(delays, func(d Deployment) bool { return d.Name == name })
+	if i < 0 {
+		return nil, errors.Errorf("unknown deployment %q; use one of %v", name, examples.Deployments())
+	}
+	src, err := examples.Files.ReadFile(name + "/tables.json")
+	if err != nil {
+		return nil, errors.Wrap(err, "tables of the deployment")
+	}
+	d := delays[i]
+	if d.Table, err = table.ParseFile(src); err != nil {
+		return nil, errors.WithMessage(err, name)
+	}
+	return &d, nil
+}
+
+// Restrict keeps only the first n failure domains, with their backend servers
+// and links.
+func (d *Deployment) Restrict(n int) {
+	t := *d.Table
+	t.Domains = slices.Clone(t.Domains[:min(n, len(t.Domains))])
+	inDomains := func(name cove.Domain) bool {
+		return slices.ContainsFunc(t.Domains, func(r cove.DomainRow) bool { return r.Name == name })
+	}
+	inRegions := func(name cove.Region) bool {
+		return slices.ContainsFunc(t.Domains, func(r cove.DomainRow) bool { return r.Region == name })
+	}
+	t.Pools = slices.Clone(t.Pools)
+	for i := range t.Pools {
+		t.Pools[i].Servers = slices.DeleteFunc(slices.Clone(t.Pools[i].Servers), func(s cove.Server) bool { return !inDomains(s.Domain) })
+	}
+	t.Links = slices.DeleteFunc(slices.Clone(t.Links), func(l cove.Link) bool { return !inRegions(l.A) || !inRegions(l.B) })
+	t.Sites = slices.DeleteFunc(slices.Clone(t.Sites), func(s cove.SiteRow) bool { return !inDomains(s.Domain) })
+	t.Blocks = slices.DeleteFunc(slices.Clone(t.Blocks), func(b cove.Block) bool {
+		return !slices.ContainsFunc(t.Sites, func(s cove.SiteRow) bool { return s.Name == b.Site })
+	})
+	d.Table = &t
+}
+
+// region returns the region of a failure domain.
+func (d *Deployment) region(name cove.Domain) cove.Region {
+	for _, r := range d.Table.Domains {
+		if r.Name == name {
+			return r.Region
+		}
+	}
+	return ""
+}
+
+// delay returns the one-way delay between two failure domains.
+func (d *Deployment) delay(a, b cove.Domain) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case d.region(a) == d.region(b):
+		return d.Domain
+	default:
+		return d.Region
+	}
+}
+
+// freeAddr returns a loopback address whose port was free a moment ago.
+func freeAddr() (netip.AddrPort, error) {
+	ln, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	return addr, errors.Wrap(ln.Close(), "free address")
+}
--- /dev/null
+++ b/internal/limit/admit/rooms.go
@@ -0,0 +1,51 @@
+package admit
+
+import (
+	"slices"
+	"strings"
+
+	"turmericcove.org/cove"
+)
+
+// Rooms returns the room of each pool at this host and, as far as reports have
+// arrived, at the other hosts of the domain and in other domains.
+func (a *Admitter) Rooms() []cove.PoolRoom {
+	pl := a.plan.Load()
+	if pl == nil {
+		return nil
+	}
+	var out []cove.PoolRoom
+	for _, p := range pl.pools {
+		out = append(out, p.roomList()...)
+	}
+	slices.SortFunc(out, compareRooms)
+	return out
+}
+
+func compareRooms(x, y cove.PoolRoom) int {
+	if c := strings.Compare(string(x.Pool), string(y.Pool)); c != 0 {
+		return c
+	}
+	if c := strings.Compare(string(x.Domain), string(y.Domain)); c != 0 {
+		return c
+	}
+	return strings.Compare(string(x.Host), string(y.Host))
+}
+
+func (p *pool) roomList() []cove.PoolRoom {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	self := p.a.Self
+	out := []cove.PoolRoom{{
+		Pool: p.name, Domain: self.Domain, Host: self.ID,
+		Free: max(0, p.limit-p.used), Limit: p.limit, Queued: p.queue.n,
+	}}
+	for i := range p.peers {
+		out = append(out, cove.PoolRoom{Pool: p.name, Domain: self.Domain, Host: p.peers[i].host, Free: p.peers[i].free})
+	}
+	for i := range p.rooms {
+		c := p.remote[i]
+		out = append(out, cove.PoolRoom{Pool: p.name, Domain: p.rooms[i].domain, Free: c.Free, Limit: c.Limit, Age: c.LoadAge})
+	}
+	return out
+}
--- a/internal/ops/admin/api.go
+++ b/internal/ops/admin/api.go
@@ -55,7 +55,8 @@
 type Commit struct {
 	Version cove.Version `json:"version"`
 	Time    time.Time    `json:"time"`
-	Host    cove.HostID  `json:"host,omitempty"`
+	Author  string       `json:"author,omitempty"`
+	Reason  string       `json:"reason,omitempty"`
 	Changes []string     `json:"changes,omitempty"`
 }
 
@@ -124,6 +125,7 @@
 type PoolStatus struct {
 	Pool   cove.PoolName `json:"pool"`
 	Domain cove.Domain   `json:"domain"`
+	Host   cove.HostID   `json:"host,omitempty"`
 	Free   int           `json:"free"`
 	Limit  int           `json:"limit"`
 	Queued int           `json:"queued"`
--- a/internal/ops/cli/table.go
+++ b/internal/ops/cli/table.go
@@ -98,7 +98,7 @@
 	}
 	return e.print(commits, func(w io.Writer) {
 		for _, ci := range commits {
-			fmt.Fprintf(w, "version %d  %s  %s\n", ci.Version, ci.Time.Format(time.RFC3339), ci.Host)
+			fmt.Fprintf(w, "version %d  %s  %s\n", ci.Version, ci.Time.Format(time.RFC3339), ci.Author)
 			printChanges(w, ci.Changes)
 		}
 	})
@@ -122,9 +122,12 @@
 	if err != nil {
 		return nil, &exitError{code: ExitUsage, err: errors.Wrap(err, "read tables")}
 	}
-	t, err := table.Parse(name, src)
+	t, err := table.ParseFile(src)
 	if err != nil {
-		return nil, &exitError{code: ExitUsage, err: err}
+		return nil, &exitError{code: ExitUsage, err: errors.WithMessage(err, name)}
+	}
+	if err := table.Validate(t); err != nil {
+		return nil, &exitError{code: ExitUsage, err: errors.WithMessage(err, name)}
 	}
 	return t, nil
 }
--- /dev/null
+++ b/internal/ops/entry/page.go
@@ -0,0 +1,17 @@
+package entry
+
+import (
+	_ "embed"
+	"net/http"
+)
+
+//go:embed page.html
+var page []byte
+
+// servePage serves the read-only status page.
+func servePage(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'; script-src 'unsafe-inline'; connect-src 'self'")
+	// A client that does not take the page has gone.
+	_, _ = w.Write(page)
+}
--- /dev/null
+++ b/internal/ops/entry/status.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/group"
+	"turmericcove.org/cove/internal/ops/admin"
+)
+
+// Paths on the peer port by which a host collects the state of the others.
+const (
+	peerStatusPath = "/peer/status"
+	peerEventsPath = "/peer/events"
+)
+
+const (
+	// askTimeout bounds the wait for one host, so that an unreachable one does
+	// not hold up the answer.
+	askTimeout = 2 * time.Second
+	// askParallel bounds the hosts that are asked at a time.
+	askParallel = 32
+	// maxPeerAnswer bounds the answer of one host.
+	maxPeerAnswer = 8 << 20
+)
+
+func (d *Daemon) handlePeers() {
+	d.peer.Handle("GET "+peerStatusPath, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		d.writePeer(w, d.Status())
+	}))
+	d.peer.Handle("GET "+peerEventsPath, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		since, kind, err := eventQuery(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		d.writePeer(w, d.ownEvents(since, kind))
+	}))
+}
+
+func (d *Daemon) writePeer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		d.meter.Add("peer.writeFailed", 1)
+	}
+}
+
+// Status describes this host.
+func (d *Daemon) Status() admin.Status {
+	return admin.Status{
+		Host:        d.Self.ID,
+		Incarnation: d.Self.Incarnation,
+		Region:      d.Self.Region,
+		Domain:      d.Self.Domain,
+		Version:     d.Version(),
+		Ready:       d.Ready(),
+		Fresh:       d.keys.Fresh(),
+		Uptime:      cove.Duration(d.clock.Now().Sub(d.start)),
+		Members:     d.memberStatus(),
+		Pools:       d.poolStatus(),
+		Shares:      d.shareStatus(),
+		Counters:    d.meter.Counts(),
+	}
+}
+
+func (d *Daemon) memberStatus() []admin.MemberStatus {
+	now := d.clock.Now()
+	var out []admin.MemberStatus
+	for _, m := range d.member.Snapshot() {
+		out = append(out, admin.MemberStatus{
+			Host: m.ID, Domain: m.Domain, State: m.State.String(), Version: m.Version, Silent: cove.Duration(now.Sub(m.Seen)),
+		})
+	}
+	return out
+}
+
+func (d *Daemon) poolStatus() []admin.PoolStatus {
+	var out []admin.PoolStatus
+	for _, r := range d.admit.Rooms() {
+		out = append(out, admin.PoolStatus{
+			Pool: r.Pool, Domain: r.Domain, Host: r.Host,
+			Free: r.Free, Limit: r.Limit, Queued: r.Queued, Age: cove.Duration(r.Age),
+		})
+	}
+	return out
+}
+
+func (d *Daemon) shareStatus() []admin.ShareStatus {
+	var out []admin.ShareStatus
+	for _, p := range d.share.Parts() {
+		out = append(out, admin.ShareStatus{
+			Team: p.Team, Rate: p.Own.Rate.Tokens(), Burst: p.Own.Burst.Tokens(),
+			Borrowed: p.Borrowed.Rate.Tokens(), Lent: p.Lent.Rate.Tokens(),
+		})
+	}
+	return out
+}
+
+// Holds reports whether the host holds its part of every team's rate.
+func (d *Daemon) Holds() bool { return d.share.Holds() }
+
+// LiveHosts returns the number of hosts that this one sees as live.
+func (d *Daemon) LiveHosts() int {
+	n := 0
+	for _, m := range d.member.Snapshot() {
+		if m.State == cove.HostLive {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *adminService) status(w http.ResponseWriter, r *http.Request) {
+	out := []admin.Status{a.d.Status()}
+	if r.URL.Query().Get("all") == "true" {
+		out = append(out, askAll(r.Context(), a.d, peerStatusPath, func(m cove.Member, s admin.Status, err error) []admin.Status {
+			if err != nil {
+				s = admin.Status{Host: m.ID, Domain: m.Domain, Region: m.Region, Error: err.Error()}
+			}
+			return []admin.Status{s}
+		})...)
+	}
+	slices.SortFunc(out, func(x, y admin.Status) int { return strings.Compare(string(x.Host), string(y.Host)) })
+	a.write(w, http.StatusOK, out)
+}
+
+func (a *adminService) events(w http.ResponseWriter, r *http.Request) {
+	since, kind, err := eventQuery(r)
+	if err != nil {
+		a.fail(w, http.StatusBadRequest, err)
+		return
+	}
+	out := a.d.ownEvents(since, kind)
+	out = append(out, askAll(r.Context(), a.d, peerEventsPath+"?"+r.URL.RawQuery, func(m cove.Member, evs []cove.Event, err error) []cove.Event {
+		if err != nil {
+			return []cove.Event{{Time: a.d.clock.Now(), Host: m.ID, Kind: "host.notReached", Cause: err.Error()}}
+		}
+		return evs
+	})...)
+	slices.SortStableFunc(out, func(x, y cove.Event) int { return x.Time.Compare(y.Time) })
+	a.write(w, http.StatusOK, out)
+}
+
+func eventQuery(r *http.Request) (since time.Time, kind string, err error) {
+	q := r.URL.Query()
+	if s := q.Get("since"); s != "" {
+		if since, err = time.Parse(time.RFC3339Nano, s); err != nil {
+			return since, "", errors.Wrap(err, "since")
+		}
+	}
+	return since, q.Get("kind"), nil
+}
+
+func (d *Daemon) ownEvents(since time.Time, kind string) []cove.Event {
+	evs, _ := d.events.Since(0)
+	return slices.DeleteFunc(evs, func(ev cove.Event) bool {
+		return ev.Time.Before(since) || !strings.HasPrefix(ev.Kind, kind)
+	})
+}
+
+// askAll asks all other hosts that are not gone and collects what fn makes of
+// each answer.
+func askAll[T, R any](ctx context.Context, d *Daemon, path string, fn func(m cove.Member, v T, err error) []R) []R {
+	var mu sync.Mutex
+	var out []R
+	var tasks group.Group
+	slots := make(chan struct{}, askParallel)
+	for _, m := range d.member.Snapshot() {
+		if m.ID == d.Self.ID || m.State == cove.HostGone {
+			continue
+		}
+		slots <- struct{}{}
+		tasks.Go(func(context.Context) error {
+			defer func() { <-slots }()
+			var v T
+			err := d.ask(ctx, m.ID, path, &v)
+			rows := fn(m, v, err)
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, rows...)
+			return nil
+		})
+	}
+	// The tasks return no error.
+	_ = tasks.Wait()
+	return out
+}
+
+func (d *Daemon) ask(ctx context.Context, id cove.HostID, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	client, base, err := d.peer.Client(id)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "ask peer")
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "ask peer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("ask peer: %s", resp.Status)
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxPeerAnswer)).Decode(v), "answer of peer")
+}
