Check request bytes for smuggling shapes; test shapes, streams and at most once

net/http accepts Content-Length beside Transfer-Encoding, repeated lengths, folded lines, bare line feeds and Transfer-Encoding on HTTP/1.0. A guard on callers' plain connections now turns them into refusals. FuzzHeaders found that a cookie without a value kept a key in its name; such cookies are dropped now.

--- a/internal/bench/server/fault.go
+++ b/internal/bench/server/fault.go
@@ -34,6 +34,11 @@
 	CutChunked
 	// Broken runs the request and ends the connection without an answer.
 	Broken
+	// Refused does not run the request and says so.
+	Refused
+	// CrossedRefused runs the request and answers with the refusal of another
+	// one.
+	CrossedRefused
 )
 
 // Faults gives the share of requests that meet each fault, 0 to 1.
@@ -120,6 +125,13 @@
 	s.faults.script = append(s.faults.script, faults...)
 }
 
+// ClearInjected drops the injected faults that no request has met.
+func (s *Server) ClearInjected() {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.script = nil
+}
+
 // SetFaults replaces the shares of faults.
 func (s *Server) SetFaults(f Faults) {
 	s.faults.mu.Lock()
@@ -150,6 +162,10 @@
 	case Crossed:
 		w.Header().Set(headerRequestID, otherID)
 		text = otherText
+	case CrossedRefused:
+		w.Header().Set(headerRequestID, otherID)
+		refuse(w)
+		return
 	case Cut:
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		sendHalf(w, text)
--- a/internal/bench/server/server.go
+++ b/internal/bench/server/server.go
@@ -80,8 +80,12 @@
 
 	mu   sync.Mutex
 	http *http.Server
-	addr netip.AddrPort
-	task group.Group
+	// listener is closed by hand too, because http.Server does not know it
+	// before its task has begun.
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	addr     netip.AddrPort
+	task     group.Group
 }
 
 // New returns a server that is not yet listening. It can be used as a handler.
@@ -106,17 +110,20 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	srv := &http.Server{Handler: s}
+	srv := &http.Server{Handler: s, ConnState: s.track}
 	s.mu.Lock()
 	s.http = srv
+	s.listener = ln
+	s.conns = make(map[net.Conn]struct{})
 	s.addr = netip.MustParseAddrPort(ln.Addr().String())
 	s.mu.Unlock()
 	s.served.Store(0)
 	s.task.Go(func(context.Context) error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
+		err := srv.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+			return nil
 		}
-		return nil
+		return err
 	})
 	return nil
 }
@@ -131,14 +138,38 @@
 // Close ends the server and all its connections, like a crash.
 func (s *Server) Close() error {
 	s.mu.Lock()
-	srv := s.http
+	srv, ln := s.http, s.listener
 	s.mu.Unlock()
 	if srv == nil {
 		return nil
 	}
+	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
 	return srv.Close()
 }
 
+// Reset ends all connections and goes on listening.
+func (s *Server) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		// The connection is given up; an error changes nothing.
+		_ = c.Close()
+	}
+}
+
+func (s *Server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	}
+}
+
 // Drain marks the server as leaving. It goes on serving.
 func (s *Server) Drain() {
 	s.draining.Store(true)
@@ -163,9 +194,13 @@
 		w.Header().Set(headerDraining, "1")
 	}
 	fault := s.faults.next()
-	if fault == SilentBefore {
+	switch fault {
+	case SilentBefore:
 		silence(r)
 		return
+	case Refused:
+		refuse(w)
+		return
 	}
 	s.admit(w, r, fault)
 	if fault == SilentAfter {
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -248,6 +248,10 @@
 		t.giveUp(cove.Result{Canceled: true})
 		return &failure{refusal: unknown(errBody.Status, errBody.Reason, errBody.Detail)}
 	}
+	if t.x.body.failed() {
+		t.giveUp(cove.Result{Canceled: true})
+		return &failure{refusal: unknown(errBodyRead.Status, errBodyRead.Reason, errBodyRead.Detail)}
+	}
 	if t.lost.Load() || errors.Is(t.ctx.Err(), context.Canceled) {
 		t.giveUp(cove.Result{Canceled: true})
 		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerFailed, "canceled")}
--- a/internal/route/proxy/body.go
+++ b/internal/route/proxy/body.go
@@ -40,6 +40,11 @@
 	return b.stream != nil && b.stream.tooLarge.Load()
 }
 
+// failed reports whether the caller did not send the whole body.
+func (b *body) failed() bool {
+	return b.stream != nil && b.stream.failed.Load()
+}
+
 // reader returns the body for an attempt, or nil when it is empty.
 func (b *body) reader() io.ReadCloser {
 	if b.stream != nil {
@@ -114,6 +119,8 @@
 	mu       sync.Mutex
 	err      error
 	tooLarge atomic.Bool
+	// failed is set when the caller's body ended with an error.
+	failed atomic.Bool
 }
 
 func newStreamBody(w http.ResponseWriter, r *http.Request, max int64) *streamBody {
@@ -146,6 +153,7 @@
 	}
 	if err != nil {
 		s.err = err
+		s.failed.Store(err != io.EOF)
 	}
 	return n, err
 }
--- a/internal/route/proxy/key.go
+++ b/internal/route/proxy/key.go
@@ -162,8 +162,8 @@
 		var kept []string
 		for part := range strings.SplitSeq(v, ";") {
 			part = strings.TrimSpace(part)
-			name, value, _ := strings.Cut(part, "=")
-			if part == "" || s.placeName(name) || s.holds(value) {
+			name, _, _ := strings.Cut(part, "=")
+			if part == "" || s.placeName(name) || s.holds(part) {
 				continue
 			}
 			kept = append(kept, part)
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -33,6 +33,8 @@
 		IdleTimeout:       p.cfg.IdleTimeout,
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    headerSlack * p.cfg.MaxHeaderBytes,
+		// OPTIONS * is refused like every target that is no path.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -40,9 +42,11 @@
 // fail over instead of waiting in the accept queue.
 type boundedListener struct {
 	net.Listener
-	max  int64
-	open atomic.Int64
-	full func()
+	max int64
+	// plain tells that the connections carry HTTP without TLS.
+	plain bool
+	open  atomic.Int64
+	full  func()
 }
 
 // Accept implements net.Listener.
@@ -53,7 +57,11 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.max {
-			return &boundedConn{Conn: c, open: &l.open}, nil
+			bounded := &boundedConn{Conn: c, open: &l.open}
+			if l.plain {
+				return &guardedConn{Conn: bounded}, nil
+			}
+			return bounded, nil
 		}
 		l.open.Add(-1)
 		l.full()
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -107,7 +107,7 @@
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
 func (p *Proxy) accept(ln net.Listener) error {
-	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), full: func() {
+	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), plain: p.cfg.TLS == nil, full: func() {
 		p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1)
 	}}
 	var err error
--- a/internal/route/proxy/shape.go
+++ b/internal/route/proxy/shape.go
@@ -29,6 +29,9 @@
 	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
 		return errConnect
 	}
+	if r.Header[headerViolation] != nil {
+		return errFraming
+	}
 	if ref := checkTarget(r.RequestURI, r.URL); ref != nil {
 		return ref
 	}
--- /dev/null
+++ b/internal/route/proxy/shape_test.go
@@ -0,0 +1,229 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/bench/server"
+)
+
+// seen keeps the last request of a backend server.
+type seen struct {
+	mu   sync.Mutex
+	n    int
+	last *http.Request
+}
+
+func (s *seen) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n++
+	s.last = r
+}
+
+// Guards against request shapes that two servers read differently, headers
+// that callers must not set, and keys that reach backend servers (P4).
+func TestShapes(t *testing.T) {
+	ar, err := txtar.ParseFile("testdata/shapes.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(ar.Files); i += 2 {
+		name := strings.TrimSuffix(ar.Files[i].Name, "/request")
+		if ar.Files[i+1].Name != name+"/want" {
+			t.Fatalf("%s has no want", name)
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkShapeCase(t, wireForm(t, ar.Files[i].Data), string(ar.Files[i+1].Data))
+		})
+	}
+}
+
+// wireForm turns the lines of a data file into bytes.
+func wireForm(t *testing.T, data []byte) string {
+	s := strings.ReplaceAll(string(data), `"`, `\"`)
+	s, err := strconv.Unquote(`"` + strings.ReplaceAll(s, "\n", `\r\n`) + `"`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func checkShapeCase(t *testing.T, request, want string) {
+	backend := &seen{}
+	servers, targets := newServers(t, 1, server.Config{Run: backend})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	c := dialRaw(t, h)
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var problem struct{ Reason, Outcome string }
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Header.Get("Content-Type") == problemType {
+		if err := json.Unmarshal(body, &problem); err != nil {
+			t.Error(err)
+		}
+	}
+	if n, ok := strings.CutPrefix(want, "status 200\nreached "); ok {
+		n, _, _ = strings.Cut(n, "\n")
+		waitFor(t, n+" requests at the backend server", func() bool { return backend.reached() == n })
+	}
+	for line := range strings.Lines(want) {
+		verb, arg, _ := strings.Cut(strings.TrimSpace(line), " ")
+		got, ok := shapeFact(verb, arg, resp, problem.Reason, problem.Outcome, backend)
+		if !ok {
+			t.Errorf("want %s %s, got %q", verb, arg, got)
+		}
+	}
+	if leaked := servers[0].Leaked(); len(leaked) > 0 {
+		t.Errorf("backend server saw keys %v", leaked)
+	}
+}
+
+func (s *seen) reached() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strconv.Itoa(s.n)
+}
+
+func shapeFact(verb, arg string, resp *http.Response, reason, outcome string, backend *seen) (string, bool) {
+	name, value, _ := strings.Cut(arg, ": ")
+	sent := ""
+	if backend.last != nil {
+		sent = strings.Join(backend.last.Header.Values(name), "|")
+	}
+	switch verb {
+	case "status":
+		return resp.Status, strconv.Itoa(resp.StatusCode) == arg
+	case "reason":
+		return reason, reason == arg
+	case "outcome":
+		return outcome, outcome == arg && resp.Header.Get(headerOutcome) == arg
+	case "header":
+		return resp.Header.Get(name), resp.Header.Get(name) == value
+	case "reached":
+		return backend.reached(), backend.reached() == arg
+	case "uri":
+		return backend.last.RequestURI, backend.last.RequestURI == arg
+	case "sent":
+		return sent, sent == value
+	case "starts":
+		return sent, strings.HasPrefix(sent, value)
+	case "missing":
+		return sent, sent == ""
+	case "lower":
+		got, err := strconv.Atoi(sent)
+		bound, berr := strconv.Atoi(value)
+		return sent, err == nil && berr == nil && got < bound
+	}
+	return "unknown verb", false
+}
+
+// Shows that the check of TestShapes notices a key at the backend server.
+func TestLeakOracle(t *testing.T) {
+	servers, _ := newServers(t, 1, server.Config{})
+	req, err := http.NewRequest(http.MethodGet, "http://"+servers[0].Addr().String()+"/x?k="+testKey, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := newClient(t, 1).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if len(servers[0].Leaked()) != 1 {
+		t.Fatal("the leak was not recorded")
+	}
+}
+
+// FuzzGuard checks that the guard and net/http agree on where each message
+// ends, which is what request smuggling depends on.
+func FuzzGuard(f *testing.F) {
+	for _, s := range []string{
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET /",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nT: 1\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var g guard
+		src := iotest.OneByteReader(bytes.NewReader(data))
+		br := bufio.NewReader(readerFunc(func(b []byte) (int, error) {
+			n, err := src.Read(b)
+			if passed, ok := g.scan(b[:n]); !ok {
+				return passed, io.EOF
+			}
+			return n, err
+		}))
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil || g.state == guardRaw {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			if g.state != guardRequestLine || len(g.line) > 0 || br.Buffered() > 0 {
+				t.Fatalf("net/http ends a message where the guard is in state %d", g.state)
+			}
+		}
+	})
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
+// FuzzHeaders checks that what is made from a caller's headers can be written
+// as single lines and holds no key.
+func FuzzHeaders(f *testing.F) {
+	f.Add("a;b", "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01", "x:80", "k="+testKey, "id")
+	f.Fuzz(func(t *testing.T, key, trace, hostName, query, id string) {
+		h := http.Header{"Traceparent": {trace}, "Cookie": {query}, "Forwarded": {hostName}, headerRequestID: {id}}
+		s := scrubber{places: compilePlaces(testRoutes()), key: testKey}
+		fields := s.fields(forwardable(nil, h))
+		fields = traceFields(fields, h)
+		if validHost(hostName) {
+			fields = forwardedFields(fields, callerAddr(&http.Request{RemoteAddr: "[::1]:7"}), hostName, true)
+		}
+		_, upstream := requestIDs(h)
+		fields = append(fields, field{"Id", []string{upstream}})
+		for _, fd := range fields {
+			for _, v := range fd.values {
+				if fd.name != "Cookie" && !oneLine(v) || strings.Contains(v, testKey) && fd.name != "Id" {
+					t.Fatalf("%s: %q", fd.name, v)
+				}
+			}
+		}
+		if strings.Contains(unescape(s.query(query)), testKey) {
+			t.Fatalf("query %q keeps the key", query)
+		}
+		if k, ok := parseKey([]string{key}); ok && !oneLine(k) {
+			t.Fatalf("idempotency key %q", k)
+		}
+		_, _ = findKey(cove.KeyPlace{Header: "X-Key"}, &http.Request{Header: http.Header{"X-Key": {key}}})
+	})
+}
--- /dev/null
+++ b/internal/route/proxy/stream_test.go
@@ -0,0 +1,201 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/bench/server"
+)
+
+// h2Client speaks HTTP/2 with prior knowledge.
+func h2Client(t testing.TB) *http.Client {
+	return &http.Client{Transport: newFakeFleet().client.Transport, Timeout: 20 * time.Second}
+}
+
+// echo answers each line of the request at once, and sends a trailer.
+var echo = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	_ = rc.EnableFullDuplex()
+	w.Header().Set("Trailer", "X-Lines")
+	_ = rc.Flush()
+	in := bufio.NewReader(r.Body)
+	lines := 0
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			break
+		}
+		lines++
+		_, _ = io.WriteString(w, line)
+		_ = rc.Flush()
+	}
+	w.Header().Set("X-Lines", fmt.Sprint(lines, r.Trailer.Get("X-Sum")))
+})
+
+// Guards against buffering between caller and backend server, and against lost
+// trailers, on HTTP/1.1, HTTP/2 and across a hop between entry hosts.
+func TestStreamBothWays(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{Run: echo})
+	fleet := newFakeFleet()
+	newHost(t, "b", fleet, Config{}, targets...)
+	direct := newHost(t, "a", fleet, Config{}, targets...)
+	hop := newHost(t, "c", fleet, Config{}, cove.Target{Host: "b", Pool: "main", Domain: "se-west-1"})
+	for name, h := range map[string]*host{"direct": direct, "hop": hop} {
+		for proto, client := range map[string]*http.Client{"HTTP/1.1": newClient(t, 1), "HTTP/2.0": h2Client(t)} {
+			t.Run(name+" "+proto, func(t *testing.T) { checkStream(t, client, h.url+"/open/echo", proto) })
+		}
+	}
+}
+
+func checkStream(t *testing.T, client *http.Client, url, proto string) {
+	pr, pw := io.Pipe()
+	req, err := http.NewRequest(http.MethodPost, url, pr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Trailer = http.Header{"X-Sum": nil}
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	in := bufio.NewReader(resp.Body)
+	for i := range 20 {
+		if _, err := fmt.Fprintf(pw, "line %d\n", i); err != nil {
+			t.Fatal(err)
+		}
+		if line, err := in.ReadString('\n'); err != nil || line != fmt.Sprintf("line %d\n", i) {
+			t.Fatalf("answer %q, %v", line, err)
+		}
+	}
+	req.Trailer.Set("X-Sum", "abc")
+	_ = pw.Close()
+	if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
+		t.Fatalf("rest %q, %v", rest, err)
+	}
+	if got := resp.Trailer.Get("X-Lines"); got != "20abc" || resp.Proto != proto {
+		t.Fatalf("trailer %q over %s", got, resp.Proto)
+	}
+}
+
+// Guards against bodies that are asked for although the request is refused,
+// and against 100-continue that never comes.
+func TestExpectContinue(t *testing.T) {
+	backend := &seen{}
+	_, targets := newServers(t, 1, server.Config{Run: backend})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	for path, want := range map[string]string{"/open": "HTTP/1.1 100 Continue", "/orders": "HTTP/1.1 401 Unauthorized"} {
+		c := dialRaw(t, h)
+		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n", path)
+		br := bufio.NewReader(c)
+		line, err := br.ReadString('\n')
+		if err != nil || strings.TrimSpace(line) != want {
+			t.Fatalf("%s: %q, %v", path, line, err)
+		}
+		if path == "/orders" {
+			continue
+		}
+		_, _ = io.WriteString(c, "ok")
+		waitFor(t, "the body at the backend server", func() bool { return backend.reached() == "1" })
+	}
+}
+
+// Guards against work that goes on after its caller has left, directly and
+// across a hop, and against missing deadlines at the backend server.
+func TestCancellation(t *testing.T) {
+	var begun, ended atomic.Int64
+	_, targets := newServers(t, 1, server.Config{Run: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		begun.Add(1)
+		<-r.Context().Done()
+		ended.Add(1)
+	})})
+	fleet := newFakeFleet()
+	newHost(t, "b", fleet, Config{}, targets...)
+	hosts := []*host{
+		newHost(t, "a", fleet, Config{}, targets...),
+		newHost(t, "c", fleet, Config{}, cove.Target{Host: "b", Pool: "main", Domain: "se-west-1"}),
+	}
+	for i, h := range hosts {
+		ctx, cancel := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url+"/open", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if resp, err := newClient(t, 1).Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}()
+		waitFor(t, "the request to run", func() bool { return begun.Load() == int64(2*i+1) })
+		cancel()
+		<-done
+		waitFor(t, "the request to end", func() bool { return ended.Load() == int64(2*i+1) })
+		resp, err := newClient(t, 1).Get(h.url + "/hurry")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(headerOutcome) != "unknown" {
+			t.Errorf("past the deadline: %s, %s", resp.Status, resp.Header.Get(headerOutcome))
+		}
+		waitFor(t, "the late request to end", func() bool { return ended.Load() == int64(2*i+2) })
+	}
+}
+
+// Guards against memory and goroutines that grow with slow callers, endless
+// bodies and large headers (B9).
+func TestHostileCallersAreBounded(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{Run: &seen{}})
+	const callers = 40
+	cfg := Config{MaxConns: callers, MaxBodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond}
+	h := newHost(t, "a", nil, cfg, targets...)
+	before := runtime.NumGoroutine()
+	// Twice as many callers as connections allowed, none of which ends its header.
+	for range 2 * callers {
+		_, _ = io.WriteString(dialRaw(t, h), "GET /open HTTP/1.1\r\nHost: x\r\n")
+	}
+	waitFor(t, "connections above the bound to be closed", func() bool { return h.meter.Count("refusal.hostLimit") >= callers })
+	if n := runtime.NumGoroutine() - before; n > 3*callers {
+		t.Errorf("%d goroutines for %d connections", n, callers)
+	}
+	waitFor(t, "slow headers to time out", func() bool { return runtime.NumGoroutine() <= before+5 })
+	endless := func(w io.Writer) error {
+		chunk := "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"
+		for {
+			if _, err := io.WriteString(w, chunk); err != nil {
+				return err
+			}
+		}
+	}
+	for _, header := range []string{"", "Idempotency-Key: k\r\n"} {
+		c := dialRaw(t, h)
+		_, _ = io.WriteString(c, "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"+header+"\r\n")
+		sent := make(chan error, 1)
+		go func() { sent <- endless(c) }()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Fatalf("endless body: %v, %v", resp, err)
+		}
+		_ = resp.Body.Close()
+		if err := <-sent; err == nil {
+			t.Fatal("the endless body was taken")
+		}
+	}
+	c := dialRaw(t, h)
+	_, _ = io.WriteString(c, "GET /open HTTP/1.1\r\nHost: x\r\nX-Large: "+strings.Repeat("x", 40<<10)+"\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Fatalf("large header: %v, %v", resp, err)
+	}
+}
