Look for the keys of the demo's callers at the backend servers

Cause: the demo makes its keys after the backend servers have started, so the servers looked for no key and the step that counts leaks could not fail. Change: keys can be added while a server runs. Conclusion: the step can fail.

--- a/internal/bench/server/record.go
+++ b/internal/bench/server/record.go
@@ -26,6 +26,14 @@
 	mu     sync.Mutex
 	runs   []Run
 	leaked []string
+	keys   []string
+}
+
+// LookFor adds keys of callers to look for in requests.
+func (s *Server) LookFor(keys ...string) {
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	s.record.keys = append(s.record.keys, keys...)
 }
 
 func (rec *record) begin(r *http.Request, body []byte, skip bool) Run {
@@ -56,7 +64,10 @@
 }
 
 // leaks records each caller key in the request line or header.
-func (rec *record) leaks(r *http.Request, keys []string) {
+func (rec *record) leaks(r *http.Request) {
+	rec.mu.Lock()
+	keys := rec.keys
+	rec.mu.Unlock()
 	for _, key := range keys {
 		if !carries(r, key) {
 			continue
--- a/internal/bench/server/server.go
+++ b/internal/bench/server/server.go
@@ -94,6 +94,7 @@
 	if cfg.Slots > 0 {
 		s.slots = make(chan struct{}, cfg.Slots)
 	}
+	s.record.keys = cfg.Keys
 	s.faults.init(cfg.Faults, cfg.Seed)
 	s.reports.init(cfg)
 	return s
@@ -186,7 +187,7 @@
 		s.serveHealth(w)
 		return
 	}
-	s.record.leaks(r, s.cfg.Keys)
+	s.record.leaks(r)
 	if id := r.Header.Get(headerRequestID); id != "" {
 		w.Header().Set(headerRequestID, id)
 	}
--- a/internal/ops/demo/demo.go
+++ b/internal/ops/demo/demo.go
@@ -103,6 +103,9 @@
 			return errors.WithMessagef(err, "key of %s", team)
 		}
 		d.keys[team] = resp.Key
+		for _, s := range d.rig.Servers {
+			s.LookFor(resp.Key)
+		}
 		last = resp.Version
 	}
 	return d.awaitInForce(ctx, last)
--- a/internal/ops/demo/steps.go
+++ b/internal/ops/demo/steps.go
@@ -285,11 +285,7 @@
 func (d *demo) leaks(context.Context) error {
 	seen := 0
 	for _, s := range d.rig.Servers {
-		for _, run := range s.Runs() {
-			if run.Key == "leak" {
-				seen++
-			}
-		}
+		seen += len(s.Leaked())
 	}
 	d.record("keys seen by backend servers", "0", fmt.Sprint(seen), seen == 0)
 	return nil
