--- a/internal/bench/link/conn.go
+++ b/internal/bench/link/conn.go
@@ -96,6 +96,7 @@
 func (c *conn) readDirect(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		c.net.Bytes.Add(int64(n))
 		if err != nil || !c.dead.Load() {
 			return n, err
 		}
@@ -107,6 +108,7 @@
 	if c.dead.Load() {
 		return len(b), nil
 	}
+	c.net.Bytes.Add(int64(len(b)))
 	if c.delay == 0 {
 		return c.Conn.Write(b)
 	}
@@ -148,6 +150,7 @@
 	for {
 		buf := make([]byte, chunkBytes)
 		n, err := c.Conn.Read(buf)
+		c.net.Bytes.Add(int64(n))
 		if c.dead.Load() && err == nil {
 			continue
 		}
--- a/internal/bench/link/link.go
+++ b/internal/bench/link/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,8 @@
 type Network struct {
 	// Delay returns the one-way delay of a pair; nil means none.
 	Delay func(Pair) time.Duration
+	// Bytes counts what was sent and received over all connections.
+	Bytes atomic.Int64
 
 	mu    sync.Mutex
 	cut   map[Pair]bool
--- a/internal/bench/load/answer.go
+++ b/internal/bench/load/answer.go
@@ -26,11 +26,28 @@
 		readProblem(body, rec)
 		return
 	}
-	if rec.Status < http.StatusMultipleChoices {
-		rec.Crossed = isCrossed(resp, rec)
+	if rec.Status < http.StatusMultipleChoices && rec.Whole {
+		checkBody(string(body), rec)
 	}
 }
 
+// bodyLines is the number of lines in an answer of a backend server: request
+// id, digest of the request's body, name of the server.
+const bodyLines = 3
+
+// checkBody compares the answer with the request. The first line starts with
+// the request id, to which entry hosts add a part of their own. A repeat may
+// get the answer to the first request.
+func checkBody(body string, rec *Record) {
+	lines := strings.Split(body, "\n")
+	if len(lines) <= bodyLines {
+		rec.Truncated = true
+		return
+	}
+	id, _, _ := strings.Cut(lines[0], ".")
+	rec.Crossed = strings.TrimSuffix(id, repeatSuffix) != strings.TrimSuffix(rec.ID, repeatSuffix)
+}
+
 func readProblem(body []byte, rec *Record) {
 	var p struct {
 		Reason  cove.Reason  `json:"reason"`
@@ -44,16 +61,6 @@
 	rec.Outcome = p.Outcome
 }
 
-// isCrossed compares the id that the backend server processed with the one that
-// was sent. A replayed answer carries the id of the first request.
-func isCrossed(resp *http.Response, rec *Record) bool {
-	got := resp.Header.Get("X-Run-Id")
-	if got == "" {
-		return false
-	}
-	return strings.TrimSuffix(got, "-again") != strings.TrimSuffix(rec.ID, "-again")
-}
-
 type recorder struct {
 	mu      sync.Mutex
 	records []Record
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -6,11 +6,14 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/group"
 )
@@ -48,7 +51,6 @@
 	Team    cove.Team
 	Shape   int
 	Key     string
-	Host    int
 	Sent    time.Duration
 	Ended   time.Duration
 	Status  int
@@ -56,8 +58,10 @@
 	Outcome cove.Outcome
 	// Crossed means that the answer belongs to another request.
 	Crossed bool
-	// Whole means that the body arrived in the announced length.
-	Whole bool
+	// Whole means that the body arrived in the announced length, Truncated that
+	// it did although the backend server sent more.
+	Whole     bool
+	Truncated bool
 	// Broken means that the connection ended before the answer was complete.
 	Broken bool
 	Repeat bool
@@ -73,9 +77,9 @@
 	Seed    uint64
 	Senders []Sender
 	Shapes  []Shape
-	// Base returns the URL of the entry host to use. It is called for each
-	// request, so that callers follow look-ups.
-	Base func(host int, n uint64) (url string, index int)
+	// Bases returns the URLs of the entry hosts to use, best first. It is called
+	// for each request, so that callers follow lookups.
+	Bases func(host int, n uint64) []string
 	// Client sends the requests.
 	Client *http.Client
 	// Timeout bounds a request.
@@ -84,6 +88,9 @@
 	MaxOpen int
 }
 
+// repeatSuffix marks the request id of a repeat.
+const repeatSuffix = "-again"
+
 // Run sends for d and returns a record of each request once all have ended.
 func (g *Generator) Run(ctx context.Context, d time.Duration) []Record {
 	run := &run{g: g, start: time.Now(), sem: make(chan struct{}, max(g.MaxOpen, 1))}
@@ -145,7 +152,7 @@
 		run.exchange(ctx, s, rec, pick)
 		if repeat {
 			again := rec
-			again.ID += "-again"
+			again.ID += repeatSuffix
 			again.Repeat = true
 			run.exchange(ctx, s, again, pick+1)
 		}
@@ -165,22 +172,36 @@
 }
 
 func (run *run) exchange(ctx context.Context, s Sender, rec Record, pick uint64) {
-	shape := run.g.Shapes[rec.Shape]
-	base, host := run.g.Base(s.Host, pick)
-	rec.Host = host
 	ctx, cancel := context.WithTimeout(ctx, run.g.Timeout)
 	defer cancel()
 	rec.Sent = time.Since(run.start)
-	resp, err := run.g.Client.Do(newRequest(ctx, base, shape, s, rec))
-	if err != nil {
-		rec.Broken = true
-	} else {
-		readAnswer(resp, &rec)
-	}
+	run.attempt(ctx, run.g.Bases(s.Host, pick), s, &rec)
 	rec.Ended = time.Since(run.start)
 	run.records.add(rec)
 }
 
+// attempt sends to the first entry host that can be connected to, as the order
+// of a lookup asks for. Nothing is sent twice.
+func (run *run) attempt(ctx context.Context, bases []string, s Sender, rec *Record) {
+	for _, base := range bases {
+		resp, err := run.g.Client.Do(newRequest(ctx, base, run.g.Shapes[rec.Shape], s, *rec))
+		if isDialError(err) {
+			continue
+		}
+		rec.Broken = err != nil
+		if err == nil {
+			readAnswer(resp, rec)
+		}
+		return
+	}
+	rec.Broken = true
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 func newRequest(ctx context.Context, base string, shape Shape, s Sender, rec Record) *http.Request {
 	var body io.Reader
 	if shape.Method == http.MethodPost {
--- a/internal/bench/rig/deploy.go
+++ b/internal/bench/rig/deploy.go
@@ -3,6 +3,8 @@
 package rig
 
 import (
+	"math/rand/v2"
+	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -94,12 +96,28 @@
 	}
 }
 
+const (
+	// firstPort and lastPort bound the ports of hosts. They lie below the range
+	// from which the system takes the ports of outgoing connections, so that a
+	// host can bind its port again after a restart.
+	firstPort = 12000
+	lastPort  = 32000
+	portTries = 100
+)
+
 // freeAddr returns a loopback address whose port was free a moment ago.
 func freeAddr() (netip.AddrPort, error) {
-	ln, err := listen()
-	if err != nil {
-		return netip.AddrPort{}, err
+	for range portTries {
+		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+		ln, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			continue
+		}
+		if err := ln.Close(); err != nil {
+			return netip.AddrPort{}, errors.Wrap(err, "free address")
+		}
+		return addr, nil
 	}
-	addr := netip.MustParseAddrPort(ln.Addr().String())
-	return addr, errors.Wrap(ln.Close(), "free address")
+	return netip.AddrPort{}, errors.New("no free port on loopback")
 }
--- a/internal/bench/server/record.go
+++ b/internal/bench/server/record.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Run is a request that a server has begun to process.
@@ -17,6 +18,11 @@
 	Body   []byte
 	// Canceled is set when the request ended before the work was done.
 	Canceled bool
+	// Start and End are when the request got a slot and gave it back. End is
+	// zero while it runs.
+	Start, End time.Time
+	// Waited is how long the request waited for a slot.
+	Waited time.Duration
 
 	index int
 }
@@ -43,6 +49,7 @@
 		Method:    r.Method,
 		Path:      r.URL.RequestURI(),
 		Body:      body,
+		Start:     time.Now(),
 		index:     -1,
 	}
 	if skip {
@@ -55,6 +62,16 @@
 	return run
 }
 
+// end notes when a run gave its slot back.
+func (rec *record) end(run Run, waited time.Duration) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if run.index >= 0 {
+		rec.runs[run.index].End = time.Now()
+		rec.runs[run.index].Waited = waited
+	}
+}
+
 func (rec *record) cancel(run Run) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
--- a/internal/bench/server/server.go
+++ b/internal/bench/server/server.go
@@ -65,6 +65,12 @@
 	Run http.Handler
 }
 
+// coldStart makes requests slow until a number of them were served.
+type coldStart struct {
+	until  int64
+	factor float64
+}
+
 // Server is a backend server.
 type Server struct {
 	cfg    Config
@@ -73,6 +79,7 @@
 	// outstanding counts requests that wait or run.
 	outstanding atomic.Int64
 	served      atomic.Int64
+	cold        atomic.Pointer[coldStart]
 	draining    atomic.Bool
 	faults      injector
 	record      record
@@ -95,6 +102,7 @@
 		s.slots = make(chan struct{}, cfg.Slots)
 	}
 	s.record.keys = cfg.Keys
+	s.cold.Store(&coldStart{until: int64(cfg.ColdRequests), factor: cfg.ColdFactor})
 	s.faults.init(cfg.Faults, cfg.Seed)
 	s.reports.init(cfg)
 	return s
@@ -171,6 +179,14 @@
 	}
 }
 
+// Outstanding returns the number of requests that wait or run.
+func (s *Server) Outstanding() int { return int(s.outstanding.Load()) }
+
+// SetCold makes the next requests take longer, as after a start.
+func (s *Server) SetCold(requests int, factor float64) {
+	s.cold.Store(&coldStart{until: s.served.Load() + int64(requests), factor: factor})
+}
+
 // Drain marks the server as leaving. It goes on serving.
 func (s *Server) Drain() {
 	s.draining.Store(true)
@@ -222,12 +238,13 @@
 	defer cancel()
 	s.enter(1)
 	defer s.enter(-1)
+	arrived := time.Now()
 	if !s.acquire(ctx) {
 		refuse(w)
 		return
 	}
 	defer s.release()
-	s.serve(ctx, w, r, fault)
+	s.serve(ctx, w, r, fault, time.Since(arrived))
 }
 
 // requestContext ends with the caller or at the announced deadline.
@@ -279,7 +296,7 @@
 }
 
 // serve runs a request that has a slot.
-func (s *Server) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, fault Fault) {
+func (s *Server) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, fault Fault, waited time.Duration) {
 	if s.cfg.Run != nil {
 		s.record.begin(r, nil, s.cfg.NoRecord)
 		s.cfg.Run.ServeHTTP(w, r)
@@ -290,6 +307,7 @@
 		return
 	}
 	run := s.record.begin(r, body, s.cfg.NoRecord)
+	defer s.record.end(run, waited)
 	if !s.work(ctx) {
 		s.record.cancel(run)
 		return
@@ -301,8 +319,8 @@
 // answer.
 func (s *Server) work(ctx context.Context) bool {
 	d := s.cfg.Service
-	if s.served.Add(1) <= int64(s.cfg.ColdRequests) {
-		d = time.Duration(float64(d) * max(s.cfg.ColdFactor, 1))
+	if c := s.cold.Load(); s.served.Add(1) <= c.until {
+		d = time.Duration(float64(d) * max(c.factor, 1))
 	}
 	return pause(ctx, d)
 }
--- a/internal/ops/cli/cli.go
+++ b/internal/ops/cli/cli.go
@@ -80,7 +80,7 @@
 		fmt.Fprintln(errOut, err)
 		return ExitFailed
 	}
-	k, err := parser.Parse(doubleDashes(args))
+	k, err := parser.Parse(DoubleDashes(args))
 	if exit >= 0 {
 		return exit
 	}
@@ -93,8 +93,8 @@
 	return exitCode(k.Run(e), errOut)
 }
 
-// doubleDashes accepts long flags with one dash, as the Go tools do.
-func doubleDashes(args []string) []string {
+// DoubleDashes accepts long flags with one dash, as the Go tools do.
+func DoubleDashes(args []string) []string {
 	out := make([]string, len(args))
 	for i, a := range args {
 		if len(a) > 2 && a[0] == '-' && a[1] != '-' {
