Test hops, keyed requests, withdrawn keys, silence, stops and the pool

The tests of hops found that a peer which cannot be reached was reported as unknown; a hop without a connection now counts as not sent. A refusal for lack of targets after an attempt that may have run now gives the earlier cause.

--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -59,18 +59,24 @@
 
 // run makes attempts until one gives an answer.
 func (p *Proxy) run(x *exchange) (*answer, error) {
+	var last *cove.Refusal
 	for {
 		a, f := p.attempt(x)
-		if f == nil && a.weak && p.again(x, a.weakness()) {
+		if f == nil {
+			if !a.weak || !p.again(x, a.weakness()) {
+				return a, nil
+			}
+			last = a.weakness().refusal
 			x.mayHaveRun.Store(true)
 			a.end(nil)
 			continue
 		}
-		if f == nil {
-			return a, nil
+		if f.refusal.Outcome != cove.NotRun || last == nil {
+			// An attempt that may have run says more than a later one that did not.
+			last = f.refusal
 		}
 		if !p.again(x, f) {
-			return nil, f.refusal
+			return nil, last
 		}
 	}
 }
@@ -244,6 +250,10 @@
 	if errors.As(err, &hr) {
 		return t.refusedByPeer(hr.refusal)
 	}
+	if !t.leg.wrote() {
+		t.leg.finish(false)
+		return t.connectFailed(err)
+	}
 	if t.x.body.tooLarge() {
 		t.giveUp(cove.Result{Canceled: true})
 		return &failure{refusal: unknown(errBody.Status, errBody.Reason, errBody.Detail)}
--- /dev/null
+++ b/internal/route/proxy/hop_test.go
@@ -0,0 +1,276 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/bench/server"
+)
+
+// reply is a response with its body.
+type reply struct {
+	*http.Response
+	body string
+}
+
+func (r reply) reason() string {
+	var p problem
+	_ = json.Unmarshal([]byte(r.body), &p)
+	return string(p.Reason)
+}
+
+// call sends a request with testKey and the headers given as name, value pairs.
+func call(t *testing.T, h *host, method, path, body string, headers ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, h.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := newClient(t, 1).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply{resp, string(data)}
+}
+
+func (r reply) expect(t *testing.T, status int, reason, outcome string) {
+	t.Helper()
+	if r.StatusCode != status || r.reason() != reason || r.Header.Get(headerOutcome) != outcome {
+		t.Errorf("got %s, %s, %s; want %d, %s, %s", r.Status, r.reason(), r.Header.Get(headerOutcome), status, reason, outcome)
+	}
+}
+
+// Guards against outcomes that change on the way between hosts: a refusal lets
+// the origin choose again, an attempt that may have run never does.
+func TestHopOutcomes(t *testing.T) {
+	fleet := newFakeFleet()
+	servers, targets := newServers(t, 1, server.Config{})
+	newHost(t, "b", fleet, Config{}, targets...)
+	newHost(t, "e", fleet, Config{}) // has no room
+	away := func(id cove.HostID) cove.Target {
+		return cove.Target{Host: id, Pool: "main", Domain: cove.Domain("domain-" + id)}
+	}
+	fleet.join(t, "f").Handle(forwardPath, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		panic(http.ErrAbortHandler)
+	}))
+	fleet.url["d"] = "http://127.0.0.1:1" // cannot be reached
+	for _, c := range []struct {
+		name            string
+		targets         []cove.Target
+		fault           server.Fault
+		status          int
+		reason, outcome string
+		retry           cove.RetryReason
+		runs            int
+	}{
+		{"answer", []cove.Target{away("b")}, server.None, 200, "", "", "", 1},
+		{"no room, then answer", []cove.Target{away("e"), away("b")}, server.None, 200, "", "", cove.RetryNoRoom, 1},
+		{"unreachable, then answer", []cove.Target{away("d"), away("b")}, server.None, 200, "", "", cove.RetryConnect, 1},
+		{"no room anywhere", []cove.Target{away("e")}, server.None, 503, "noRoom", "not-run", cove.RetryNoRoom, 0},
+		{"shed", []cove.Target{away("b"), away("e")}, server.Refused, 503, "noRoom", "not-run", cove.RetryNoRoom, 0},
+		{"broken", []cove.Target{away("b"), targets[0]}, server.Broken, 502, "serverFailed", "unknown", "", 1},
+		{"hop breaks", []cove.Target{away("f"), targets[0]}, server.None, 502, "peerFailed", "unknown", "", 0},
+		{"crossed", []cove.Target{away("b"), targets[0]}, server.Crossed, 502, "crossedAnswer", "unknown", "", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := len(servers[0].Runs())
+			h := newHost(t, "a", fleet, Config{}, c.targets...)
+			servers[0].Inject(c.fault)
+			call(t, h, "POST", "/orders", "x").expect(t, c.status, c.reason, c.outcome)
+			if n := len(servers[0].Runs()) - before; n != c.runs {
+				t.Errorf("%d runs, want %d", n, c.runs)
+			}
+			if c.retry != "" && h.meter.Count("retry."+string(c.retry)) == 0 {
+				t.Errorf("retries %v, want %s", h.meter.Counts(), c.retry)
+			}
+			servers[0].ClearInjected()
+		})
+	}
+	if leaked := servers[0].Leaked(); len(leaked) > 0 {
+		t.Errorf("keys crossed the hop: %v", leaked)
+	}
+}
+
+// Guards against a peer port that serves callers, and against forged routes
+// and teams (B9).
+func TestPeerPathsRefuseCallers(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	for _, path := range []string{forwardPath, ownerPath} {
+		req := httptest.NewRequest(http.MethodPost, path, nil)
+		req.Header.Set(hopRoute, "orders")
+		req.Header.Set(hopTeam, "studio-a")
+		w := httptest.NewRecorder()
+		if path == forwardPath {
+			h.serveForward(w, req)
+		} else {
+			h.serveOwner(w, req)
+		}
+		if w.Code != http.StatusForbidden {
+			t.Errorf("%s: %d", path, w.Code)
+		}
+		call(t, h, "POST", path, "x", hopRoute, "orders").expect(t, 404, "noRoute", "not-run")
+	}
+}
+
+// Guards against keyed requests that run twice, lose the first answer, or run
+// away from the host that owns their key.
+func TestKeyedRequests(t *testing.T) {
+	fleet := newFakeFleet()
+	servers, targets := newServers(t, 1, server.Config{})
+	b := newHost(t, "b", fleet, Config{}, targets...)
+	a := newHost(t, "a", fleet, Config{MaxKeyedBytes: 1000}, targets...)
+	post := func(h *host, key, body string) reply {
+		return call(t, h, "POST", "/orders/1", body, "Idempotency-Key", key)
+	}
+
+	first := post(a, "k1", "x")
+	again := post(a, "k1", "x")
+	if first.body != again.body || again.Header.Get(headerReplayed) != "true" || first.Header.Get(headerReplayed) != "" {
+		t.Errorf("repeat got %q %v, first %q", again.body, again.Header, first.body)
+	}
+	post(a, "k1", "y").expect(t, 422, "idempotencyKeyReused", "not-run")
+	post(a, "k2", strings.Repeat("x", 1001)).expect(t, 413, "bodyTooLarge", "not-run")
+
+	first = post(a, "at-b1", "x")
+	again = post(b, "at-b1", "x")
+	if first.StatusCode != 200 || first.body != again.body || again.Header.Get(headerReplayed) != "true" {
+		t.Errorf("owner has %q, origin got %q", again.body, first.body)
+	}
+	if again = post(a, "at-b1", "x"); again.body != first.body || again.Header.Get(headerReplayed) != "true" {
+		t.Errorf("repeat over the hop got %q %v", again.body, again.Header)
+	}
+	post(a, "at-b1", "y").expect(t, 422, "idempotencyKeyReused", "not-run")
+	post(a, "at-z1", "x").expect(t, 503, "ownerGone", "unknown")
+	servers[0].Inject(server.Broken)
+	post(a, "at-b2", "x").expect(t, 502, "serverFailed", "unknown")
+	post(a, "at-b2", "x").expect(t, 409, "answerNotKept", "unknown")
+	servers[0].Inject(server.Refused)
+	post(a, "k3", "x").expect(t, 503, "noRoom", "not-run")
+	if r := post(a, "k3", "x"); r.StatusCode != 200 {
+		t.Errorf("repeat after not-run: %s", r.Status)
+	}
+	if twice := server.Doubles(func(r server.Run) string { return r.Key }, servers...); len(twice) > 0 {
+		t.Errorf("ran twice: %v", twice)
+	}
+
+	var minted ticket
+	r := call(t, a, "POST", "/.cove/ticket", "")
+	if err := json.Unmarshal([]byte(r.body), &minted); err != nil || r.StatusCode != 201 || minted.Key != "ticket-1" {
+		t.Errorf("ticket: %s %q", r.Status, r.body)
+	}
+	call(t, a, "POST", "/.cove/ticket", "", "Authorization", "Bearer wrong").expect(t, 401, "badKey", "not-run")
+}
+
+// Guards against a withdrawn key that still works for a request which waited
+// for admission, and against stale key data (P5).
+func TestKeyWithdrawnInQueue(t *testing.T) {
+	servers, targets := newServers(t, 1, server.Config{})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	h.admit.before = func() { h.keys.withdrawn.Store(true) }
+	call(t, h, "POST", "/orders", "x").expect(t, 401, "badKey", "not-run")
+	h.keys.withdrawn.Store(false)
+	h.admit.before = func() { h.keys.stale.Store(true) }
+	call(t, h, "POST", "/orders", "x").expect(t, 503, "staleKeys", "not-run")
+	call(t, h, "POST", "/orders", "x").expect(t, 503, "staleKeys", "not-run")
+	if r := call(t, h, "GET", "/status", ""); r.StatusCode != 200 {
+		t.Errorf("open route with stale keys: %s", r.Status)
+	}
+	if n := len(servers[0].Runs()); n != 1 {
+		t.Errorf("%d runs, want only the open route's", n)
+	}
+}
+
+// Guards against retries beyond the budget, and silent connections that hold
+// up idempotent requests (B13).
+func TestSilenceAndBudget(t *testing.T) {
+	servers, targets := newServers(t, 2, server.Config{})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	servers[0].Inject(server.SilentAfter)
+	servers[1].Inject(server.None)
+	begin := time.Now()
+	if r := call(t, h, "GET", "/proofs/1", ""); r.StatusCode != 200 || !strings.Contains(r.body, "\ns1\n") {
+		t.Errorf("%s %q", r.Status, r.body)
+	}
+	if d := time.Since(begin); d > 2*time.Second || h.meter.Count("retry.silent") != 1 {
+		t.Errorf("answer after %v, %v", d, h.meter.Counts())
+	}
+	for _, s := range servers {
+		s.SetFaults(server.Faults{Broken: 1})
+	}
+	before := server.Count(func(server.Run) string { return "all" }, servers...)["all"]
+	const requests = 300
+	for range requests {
+		call(t, h, "GET", "/proofs/1", "").expect(t, 502, "serverFailed", "unknown")
+	}
+	extra := server.Count(func(server.Run) string { return "all" }, servers...)["all"] - before - requests
+	// 10% of the requests and the initial balance of the budget.
+	if extra < requests/20 || extra > requests/10+5 {
+		t.Errorf("%d extra attempts for %d failing requests", extra, requests)
+	}
+}
+
+// Guards against requests that a graceful stop interrupts (P11), and a hard
+// stop that does not report what it cut.
+func TestStop(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{Service: 30 * time.Millisecond})
+	h := newHost(t, "a", nil, Config{QuietTime: 50 * time.Millisecond}, targets...)
+	client := newClient(t, 64)
+	var wg sync.WaitGroup
+	results := make([]string, 40)
+	for i := range results {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+			resp, err := client.Get(h.url + "/status")
+			if err != nil {
+				results[i] = err.Error()
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 {
+				results[i] = fmt.Sprint(resp.Status, err)
+			}
+		})
+	}
+	waitFor(t, "requests in progress", func() bool { return h.active.Load() > 0 })
+	if err := h.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if s := strings.Join(results, ""); s != "" {
+		t.Errorf("interrupted: %s", s)
+	}
+
+	_, targets = newServers(t, 1, server.Config{Service: time.Minute})
+	h = newHost(t, "b", nil, Config{}, targets...)
+	go func() { _, _ = http.Get(h.url + "/open") }()
+	waitFor(t, "a request in progress", func() bool { return h.admit.open.Load() > 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := h.Stop(ctx); err == nil || h.meter.Count("proxy.cutRequests") != 1 {
+		t.Errorf("hard stop: %v, %v", err, h.meter.Counts())
+	}
+	evs, _ := h.log.Since(0)
+	if last := evs[len(evs)-1]; last.Kind != "proxy.requestsCut" || last.Fields[0].Name != "open" {
+		t.Errorf("event %+v", last)
+	}
+}
