Keep the outcome of the attempt that may have run when two race

When both of two racing attempts failed, the refusal of the last one was returned, also if the first one had been sent. Change: combine returns the failure of the attempt that may have run. Conclusion: a refusal says not-run only if no attempt can have run.

--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -65,6 +66,10 @@
 	// Broken means that the connection ended before the answer was complete.
 	Broken bool
 	Repeat bool
+	// Resent means that the HTTP client sent the request again on its own,
+	// after a connection broke that it had used before. A refusal then speaks
+	// of the second sending only.
+	Resent bool
 }
 
 // OK reports whether the request got a complete answer of success.
@@ -184,7 +189,12 @@
 // of a lookup asks for. Nothing is sent twice.
 func (run *run) attempt(ctx context.Context, bases []string, s Sender, rec *Record) {
 	for _, base := range bases {
-		resp, err := run.g.Client.Do(newRequest(ctx, base, run.g.Shapes[rec.Shape], s, *rec))
+		conns := 0
+		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) { conns++ },
+		})
+		resp, err := run.g.Client.Do(newRequest(traced, base, run.g.Shapes[rec.Shape], s, *rec))
+		rec.Resent = conns > 1
 		if isDialError(err) {
 			continue
 		}
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -59,11 +59,11 @@
 		return nil
 	})
 	won := <-results
-	if won.f != nil {
+	if failed := won.f; failed != nil {
 		won = <-results
 		if won.f != nil {
 			cancel()
-			return nil, won.f
+			return nil, combine(failed, won.f)
 		}
 		won.a.cancel = cancel
 		return won.a, nil
@@ -72,6 +72,15 @@
 	return won.a, nil
 }
 
+// combine returns what two failed attempts mean together. One that may have run
+// says more than one that did not.
+func combine(a, b *failure) *failure {
+	if a.refusal.Outcome != cove.NotRun {
+		return a
+	}
+	return b
+}
+
 // second makes the attempt beside the first one, on a fresh connection.
 func (p *Proxy) second(ctx context.Context, x *exchange) (*answer, *failure) {
 	t, f := p.open(ctx, x, true)
