--- a/cmd/covebench/main.go
+++ b/cmd/covebench/main.go
@@ -50,6 +50,7 @@
 	Load       float64       `help:"Load as a share of the capacity."`
 	Policy     string        `help:"Policy: ours or a baseline." enum:"ours,random,roundRobin,leastOutstanding,staticShares" default:"ours"`
 	Output     string        `help:"Format of the report." enum:"text,json" default:"text"`
+	Course     bool          `help:"Also print the course of the run by second."`
 	Plot       string        `help:"Write the course of the run to an SVG file." placeholder:"FILE"`
 }
 
@@ -76,6 +77,11 @@
 	if err := c.print(report); err != nil {
 		return err
 	}
+	if c.Course {
+		if err := series.WriteText(os.Stdout); err != nil {
+			return err
+		}
+	}
 	if c.Plot != "" {
 		if err := series.Save(c.Plot); err != nil {
 			return err
--- a/internal/bench/trial/series.go
+++ b/internal/bench/trial/series.go
@@ -1,6 +1,9 @@
 package trial
 
 import (
+	"fmt"
+	"io"
+	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +49,16 @@
 	return s
 }
 
+// WriteText writes one line a second.
+func (s *Series) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "second\tanswered\trefused\tp99 ms\t")
+	for i := range s.OK {
+		fmt.Fprintf(tw, "%d\t%.0f\t%.0f\t%.1f\t\n", i, s.OK[i], s.Refused[i], s.P99Ms[i])
+	}
+	return errors.Wrap(tw.Flush(), "write course")
+}
+
 const (
 	plotWidth  = 8 * vg.Inch
 	plotHeight = 4 * vg.Inch
