--- a/internal/limit/admit/admit.go
+++ b/internal/limit/admit/admit.go
@@ -58,8 +58,6 @@
 	holder  slot.Holder
 	resumed time.Time
 	changed time.Time // last change of the held slots
-	links   map[cove.Region]*link
-	formers map[cove.RouteName]*former
 	tasks   *group.Group
 	watched sync.Once
 	noted   error
@@ -84,16 +82,21 @@
 
 // Start begins to follow the tables, the register and the board.
 func (a *Admitter) Start(context.Context) error {
+	a.watched.Do(a.follow)
+	a.Step()
+	a.tasks = group.New(context.Background())
+	a.tasks.Go(a.run)
+	return nil
+}
+
+// follow connects the admitter with the register, the board and the tables.
+func (a *Admitter) follow() {
 	a.mu.Lock()
 	a.holder.Self = a.Self
 	a.holder.Register = a.Register
 	a.holder.Board = a.Board
 	a.mu.Unlock()
-	a.watched.Do(func() { a.Tables.Watch(a.Apply) })
-	a.Step()
-	a.tasks = group.New(context.Background())
-	a.tasks.Go(a.run)
-	return nil
+	a.Tables.Watch(a.Apply)
 }
 
 func (a *Admitter) run(ctx context.Context) error {
--- a/internal/limit/admit/note.go
+++ b/internal/limit/admit/note.go
@@ -88,6 +88,7 @@
 		next = binary.LittleEndian.AppendUint32(next, e.loan.To)
 		next = binary.AppendUvarint(next, uint64(e.loan.Units))
 		next = binary.AppendUvarint(next, uint64(e.loan.From))
+		next = binary.AppendUvarint(next, uint64(e.loan.Until-e.loan.From))
 		if len(next) > cove.MaxNoteBytes {
 			break
 		}
@@ -118,7 +119,11 @@
 			return out
 		}
 		e.loan.From = int64(from)
-		b = b[n:]
+		var length int
+		if length, b, ok = uvarint(b[n:]); !ok {
+			return out
+		}
+		e.loan.Until = e.loan.From + int64(length)
 		out = append(out, e)
 	}
 	return out
--- a/internal/limit/admit/pool.go
+++ b/internal/limit/admit/pool.go
@@ -29,6 +29,7 @@
 	health *health.Server
 	listed bool // in the table, in a domain that this host serves
 	held   int
+	next   int // held once the newest division is in force
 	inUse  int
 	at     int // index in pool.cs
 }
@@ -323,12 +324,12 @@
 	}
 }
 
-// fits reports whether the work in progress fits into the held slots.
+// fits reports whether the work in progress fits into the newest division.
 func (p *pool) fits(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
-		if s.inUse > s.held {
+		if s.inUse > s.next {
 			return false
 		}
 	}
--- a/internal/limit/admit/room.go
+++ b/internal/limit/admit/room.go
@@ -228,8 +228,7 @@
 		}
 		hash := poolHash(p.name)
 		p.ramp.Borrow(loans[hash])
-		_, want := p.ramp.Level(now)
-		if want > 0 {
+		if want := p.ramp.Want(now); want > 0 {
 			out = append(out, rampEntry{pool: hash, want: min(want, maxCount)})
 		}
 		for _, l := range p.ramp.Lend(now, wants[hash]) {
--- a/internal/limit/admit/step.go
+++ b/internal/limit/admit/step.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/ramp"
 	"turmericcove.org/cove/internal/limit/slot"
 )
 
@@ -142,7 +143,9 @@
 	if changed {
 		a.changed = now
 	}
-	a.applyHeld(pl, now)
+	if changed || now.Sub(a.changed) < 2*ramp.LoanHorizon {
+		a.applyHeld(pl, now)
+	}
 	a.exchangeRooms(pl, now)
 	a.exchangeRamps(pl, now)
 	for _, p := range pl.pools {
@@ -170,6 +173,7 @@
 	if last != 0 && now.UnixNano()-last > int64(pauseLimit) {
 		a.paused.Store(true)
 		a.resumed = now
+		a.holder.Reset()
 		a.Events.Emit("admit.paused", "no step for "+time.Duration(now.UnixNano()-last).String())
 	}
 	if a.paused.Load() && a.heard() {
@@ -209,6 +213,7 @@
 		p.mu.Lock()
 		for _, s := range p.servers {
 			s.held = a.holder.Held(s.row.Domain, s.key, s.row.Slots)
+			s.next = a.holder.Next(s.row.Domain, s.key, s.row.Slots)
 		}
 		a.applyPart(pl, p, now)
 		p.refresh(now)
--- a/internal/limit/ramp/loan.go
+++ b/internal/limit/ramp/loan.go
@@ -1,12 +1,16 @@
 package ramp
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// loanDelay is the number of seconds between the announcement of a loan
 	// and its first second, in which the note reaches the borrower.
 	loanDelay = 2
-	// loanLength is the number of seconds that a loan lasts.
+	// loanLength is the number of seconds that a loan lasts unless it is
+	// extended.
 	loanLength = 4
 	// loanGuard is the number of seconds before and after a loan in which the
 	// lender already or still goes without, because clocks differ.
@@ -18,22 +22,15 @@
 )
 
 // Loan is a part of the shift cap that a host lends to another one of its
-// failure domain for the seconds From to From + loanLength - 1.
+// failure domain for the seconds from From to Until, without Until. A loan that
+// is still wanted is extended before it ends, so that its units do not lie idle
+// during the guard seconds.
 type Loan struct {
 	// To is the hash of the borrower.
 	To    uint32
 	Units int
 	From  int64
-}
-
-// covers reports whether the borrower may use the loan in a second.
-func (l *Loan) covers(at int64) bool {
-	return at >= l.From && at < l.From+loanLength
-}
-
-// binds reports whether the lender goes without in a second.
-func (l *Loan) binds(at int64) bool {
-	return at >= l.From-loanGuard && at < l.From+loanLength+loanGuard
+	Until int64
 }
 
 // loans are those that this host has given and received.
@@ -44,9 +41,9 @@
 
 func (l *loans) lent(at int64) int {
 	sum := 0
-	for i := range l.given {
-		if l.given[i].binds(at) {
-			sum += l.given[i].Units
+	for _, g := range l.given {
+		if at >= g.From-loanGuard && at < g.Until+loanGuard {
+			sum += g.Units
 		}
 	}
 	return sum
@@ -54,70 +51,94 @@
 
 func (l *loans) borrowed(at int64) int {
 	sum := 0
-	for i := range l.received {
-		if l.received[i].covers(at) {
-			sum += l.received[i].Units
+	for _, r := range l.received {
+		if at >= r.From && at < r.Until {
+			sum += r.Units
 		}
 	}
 	return sum
 }
 
-// Want is the unmet demand of another host.
+// most returns the largest number of units that is lent in any second that a
+// loan made or extended now can touch.
+func (l *loans) most(at int64) int {
+	most := 0
+	for k := at; k < at+int64(LoanHorizon/time.Second); k++ {
+		most = max(most, l.lent(k))
+	}
+	return most
+}
+
+// Want is the demand of a host beyond its part.
 type Want struct {
 	Host  uint32
 	Units int
 }
 
-// Spare returns how much of the part this host did not need in the last
-// second, and is not yet lent for the seconds of a new loan.
-func (r *Ramp) Spare(now time.Time) int {
+// Want returns how much more than its level and its own part this host could
+// have admitted in the last second.
+func (r *Ramp) Want(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at := r.advance(now)
-	last := at - 1
-	if r.refused[last%memory] > 0 || r.refused[at%memory] > 0 {
-		return 0
-	}
-	grown := max(0, r.counts[last%memory]-r.counts[(last-1)%memory])
-	return max(0, r.part-grown-r.mostLent(at))
+	return r.want(r.advance(now))
 }
 
-// mostLent returns the largest number of units that is lent in any second of a
-// loan that would be made now.
-func (r *Ramp) mostLent(at int64) int {
-	from := at + loanDelay
-	most := 0
-	for k := from - loanGuard; k < from+loanLength+loanGuard; k++ {
-		most = max(most, r.loans.lent(k))
-	}
-	return most
+func (r *Ramp) want(at int64) int {
+	return max(0, r.growth(at-1)-r.part)
+}
+
+// growth returns by how much the demand of a second exceeds the level before.
+func (r *Ramp) growth(at int64) int {
+	demand := r.counts[at%memory] + r.refused[at%memory]
+	return max(0, demand-r.counts[(at-1)%memory])
 }
 
-// Lend divides the spare part between the hosts that want more, in proportion,
-// and returns all loans that are still to be announced.
+// Lend divides what this host does not need of its part between the hosts that
+// want more, in proportion, and returns all loans that are to be announced.
 func (r *Ramp) Lend(now time.Time, wants []Want) []Loan {
-	spare := r.Spare(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := r.advance(now)
-	r.loans.given = expire(r.loans.given, at)
+	r.loans.given = slices.DeleteFunc(r.loans.given, func(l Loan) bool { return at >= l.Until+loanGuard })
+	// What is lent counts as needed by this host only if it wants it back.
+	need := max(r.growth(at-1), r.growth(at))
+	if need+r.loans.most(at) <= r.part {
+		r.extend(at, wants)
+	}
+	r.add(at, wants, r.part-need-r.loans.most(at))
+	return slices.Clone(r.loans.given)
+}
+
+// extend prolongs the loans whose borrowers still want them.
+func (r *Ramp) extend(at int64, wants []Want) {
+	for i := range r.loans.given {
+		l := &r.loans.given[i]
+		wanted := slices.ContainsFunc(wants, func(w Want) bool { return w.Host == l.To })
+		if wanted && at < l.Until && l.Until-at <= loanDelay {
+			l.Until = at + loanDelay + 1
+		}
+	}
+}
+
+// add makes new loans out of spare units.
+func (r *Ramp) add(at int64, wants []Want, spare int) {
 	total := 0
 	for _, w := range wants {
 		total += w.Units
 	}
-	rest := min(spare, total)
+	spare = min(spare, total)
 	for _, w := range wants {
-		if total == 0 || rest == 0 {
-			break
+		if spare <= 0 || total == 0 {
+			return
 		}
-		units := min(rest, (rest*w.Units+total-1)/total)
-		rest -= units
+		units := min(spare, (spare*w.Units+total-1)/total)
 		total -= w.Units
+		spare -= units
 		if units > 0 {
-			r.loans.given = append(r.loans.given, Loan{To: w.Host, Units: units, From: at + loanDelay})
+			from := at + loanDelay
+			r.loans.given = append(r.loans.given, Loan{To: w.Host, Units: units, From: from, Until: from + loanLength})
 		}
 	}
-	return append([]Loan(nil), r.loans.given...)
 }
 
 // Borrow replaces the received loans with those of the newest notes.
@@ -126,14 +147,3 @@
 	defer r.mu.Unlock()
 	r.loans.received = received
 }
-
-// expire drops loans that bind nobody any more.
-func expire(ls []Loan, at int64) []Loan {
-	kept := ls[:0]
-	for _, l := range ls {
-		if at < l.From+loanLength+loanGuard {
-			kept = append(kept, l)
-		}
-	}
-	return kept
-}
--- a/internal/limit/ramp/ramp.go
+++ b/internal/limit/ramp/ramp.go
@@ -62,21 +62,7 @@
 	if at <= r.reduced+1 {
 		return false
 	}
-	for k := at; k < at+int64(LoanHorizon/time.Second); k++ {
-		if r.loans.lent(k) > r.part {
-			return false
-		}
-	}
-	return true
-}
-
-// Level returns the number admitted in the last full second and the number
-// refused in it.
-func (r *Ramp) Level(now time.Time) (admitted, refused int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	at := r.advance(now) - 1
-	return r.counts[at%memory], r.refused[at%memory]
+	return r.loans.most(at) <= r.part
 }
 
 // allowance returns what second at may admit.
--- a/internal/limit/slot/cover.go
+++ b/internal/limit/slot/cover.go
@@ -43,12 +43,12 @@
 }
 
 // clearance lists the siblings that this domain does not cover, each with the
-// digest of its register, once all hosts of this domain agree on that. The
-// digest names incarnations, so that it cannot be taken for the clearance of an
-// earlier return.
+// digest of its register, once all hosts of this domain, this one included, have
+// ended their work there. The digest names incarnations, so that it cannot be
+// taken for the clearance of an earlier return.
 func (h *Holder) clearance() []byte {
 	v := h.newest()
-	if v == nil || !h.agreed || h.released {
+	if v == nil || !h.agreed || !h.adopted || h.released {
 		return nil
 	}
 	var b []byte
--- a/internal/limit/slot/holder.go
+++ b/internal/limit/slot/holder.go
@@ -85,6 +85,21 @@
 	return changed, h.post(notes)
 }
 
+// Reset gives up all slots until the other hosts have agreed again. A process
+// that was paused calls it, because it may have been removed meanwhile.
+func (h *Holder) Reset() {
+	v := h.newest()
+	if v == nil || h.released {
+		return
+	}
+	h.views = []view{{self: -1}, *v}
+	h.adopted = false
+	h.agreed = false
+	h.cleared = false
+	h.kept = false
+	h.seq++
+}
+
 // Release gives up all slots for good. The caller has to have ended all work.
 func (h *Holder) Release() error {
 	h.released = true
@@ -109,26 +124,42 @@
 	if len(h.views) == 0 || !h.cleared {
 		return 0
 	}
-	ranks := make([]int, len(h.views))
-	for k := range h.views {
-		ranks[k] = -1
-		if h.views[k].includes(h.Self.Domain, d) {
-			ranks[k] = h.views[k].rank(key)
+	return h.count(h.views, d, key, slots)
+}
+
+// Next returns how many slots the host may use once the newest view is in
+// force. Its work has to fit before it announces the view.
+func (h *Holder) Next(d cove.Domain, key uint64, slots int) int {
+	if len(h.views) == 0 {
+		return 0
+	}
+	return h.count(h.views[len(h.views)-1:], d, key, slots)
+}
+
+// count returns the number of slots that all views give to this host.
+func (h *Holder) count(views []view, d cove.Domain, key uint64, slots int) int {
+	ranks := make([]int, len(views))
+	for k := range views {
+		if !views[k].includes(h.Self.Domain, d) {
+			return 0
+		}
+		if ranks[k] = views[k].rank(key); ranks[k] < 0 {
+			return 0
 		}
 	}
-	held := 0
+	n := 0
 	for i := range slots {
-		if h.holds(ranks, i) {
-			held++
+		if inAll(views, ranks, i) {
+			n++
 		}
 	}
-	return held
+	return n
 }
 
-// holds reports whether slot i is this host's in all views, given its ranks.
-func (h *Holder) holds(ranks []int, i int) bool {
-	for k, rank := range ranks {
-		if rank < 0 || i%len(h.views[k].hosts) != rank {
+// inAll reports whether slot i has this host's rank in all views.
+func inAll(views []view, ranks []int, i int) bool {
+	for k := range views {
+		if i%len(views[k].hosts) != ranks[k] {
 			return false
 		}
 	}
