Count requests in progress, not sends, against the room of other hosts

The choice subtracted every send since the last report from the reported free slots, so a slot that serves 50 requests/s counted as serving one for each report. Besides, a refusal by another host reached admission without its reason, so it learned nothing from shiftCap and noRoom. Ruled out: the queue bound and the link; neither counter moved. Change: peers and domains count the growth of the own requests in progress since the report; the refusal is passed to Permit.Done. Conclusion: room is a level, not a quota.

--- a/cmd/covebench/main.go
+++ b/cmd/covebench/main.go
@@ -88,6 +88,9 @@
 		}
 	}
 	if broken := report.Broken(); len(broken) > 0 {
+		for _, d := range report.Details() {
+			fmt.Fprintln(os.Stderr, d)
+		}
 		return errors.Errorf("guarantees broken: %v", broken)
 	}
 	return nil
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -188,8 +188,8 @@
 // attempt sends to the first entry host that can be connected to, as the order
 // of a lookup asks for. Nothing is sent twice.
 func (run *run) attempt(ctx context.Context, bases []string, s Sender, rec *Record) {
+	conns := 0
 	for _, base := range bases {
-		conns := 0
 		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 			GotConn: func(httptrace.GotConnInfo) { conns++ },
 		})
--- a/internal/bench/trial/judge.go
+++ b/internal/bench/trial/judge.go
@@ -49,26 +49,32 @@
 		}
 		if rec.Crossed {
 			out.CrossedAnswers++
+			out.detail("crossed: %+v", *rec)
 		}
 		if rec.Truncated {
 			out.TruncatedAnswers++
+			out.detail("truncated: %+v", *rec)
 		}
 		if rec.Outcome == cove.NotRun && t.byID[rec.ID] > 0 && !rec.Resent {
 			out.FalseNotRun++
+			out.detail("not-run but ran: %+v", *rec)
 		}
 		if !shape.Idempotent && rec.Key == "" && t.byID[rec.ID] > 1 {
 			out.DoubleRuns++
+			out.detail("ran %d times: %+v", t.byID[rec.ID], *rec)
 		}
 		if t.byID[rec.ID] > 0 {
 			ran++
 		}
 		if rec.Broken && r.plannedStop() {
 			out.CutRequests++
+			out.detail("cut: %+v", *rec)
 		}
 	}
-	for _, n := range t.byKey {
+	for key, n := range t.byKey {
 		if n > 1 {
 			out.DoubleRuns++
+			out.detail("key %s ran %d times", key, n)
 		}
 	}
 	if ran > 0 {
--- a/internal/bench/trial/report.go
+++ b/internal/bench/trial/report.go
@@ -53,8 +53,23 @@
 	ControlBytesPerHostSecond float64          `json:"controlBytesPerHostSecond"`
 	Refusals                  map[string]int64 `json:"refusals"`
 	Retries                   map[string]int64 `json:"retries"`
+
+	// details name the requests that broke a guarantee.
+	details []string
 }
 
+// maxDetails bounds what is kept of requests that broke a guarantee.
+const maxDetails = 20
+
+func (r *Report) detail(format string, args ...any) {
+	if len(r.details) < maxDetails {
+		r.details = append(r.details, fmt.Sprintf(format, args...))
+	}
+}
+
+// Details names requests that broke a guarantee, the first ones only.
+func (r *Report) Details() []string { return r.details }
+
 // Broken lists the guarantees that the run broke.
 func (r *Report) Broken() []string {
 	var out []string
@@ -96,6 +111,9 @@
 	t := reflect.TypeFor[Report]()
 	for i := range t.NumField() {
 		name := t.Field(i).Tag.Get("json")
+		if name == "" {
+			continue
+		}
 		cells := make([]string, len(reports))
 		for j, r := range reports {
 			cells[j] = cell(reflect.ValueOf(r).Elem().Field(i))
--- a/internal/limit/admit/permit.go
+++ b/internal/limit/admit/permit.go
@@ -60,21 +60,20 @@
 		// The charge stays when the size of a sent request is unknown.
 		pm.link.correct(now, res.Bytes-pm.bytes)
 	}
-	if res.Canceled {
-		return
-	}
 	reason := refusalReason(res.Err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if pm.target.Domain == p.a.Self.Domain {
-		if reason != "" {
-			p.peerFull(pm.peer)
-		}
+		p.peerDone(pm.peer, reason != "")
 		return
 	}
-	p.domains.Done(pm.target.Domain, res.Shed || reason != "")
-	if reason == cove.ReasonShiftCap {
+	p.domains.Done(pm.target.Domain, now)
+	switch reason {
+	case "":
+	case cove.ReasonShiftCap:
 		p.closeRamp(pm.target.Domain, now)
+	default:
+		p.domains.Refused(pm.target.Domain)
 	}
 }
 
--- a/internal/limit/admit/place.go
+++ b/internal/limit/admit/place.go
@@ -195,11 +195,17 @@
 	return nil
 }
 
-// peerFull records a refusal by another host of the domain.
-func (p *pool) peerFull(id cove.HostID) {
+// peerDone records that a request at another host of the domain has ended. Its
+// slot is free again, unless the host refused for lack of room.
+func (p *pool) peerDone(id cove.HostID, full bool) {
 	for i := range p.peers {
-		if p.peers[i].host == id {
+		if p.peers[i].host != id {
+			continue
+		}
+		if full {
 			p.peers[i].free = 0
+			return
 		}
+		p.peers[i].free++
 	}
 }
--- a/internal/route/pick/domain.go
+++ b/internal/route/pick/domain.go
@@ -25,10 +25,10 @@
 	trustMin = 1.0 / 256
 	// trustStep is how much of the way to full trust one success regains.
 	trustStep = 0.02
-	// sentSlots and sentWidth give the memory of own recent sends. It has to
-	// cover the largest usual lag of reports.
-	sentSlots = 16
-	sentWidth = 500 * time.Millisecond
+	// pastSlots and pastWidth give the memory of the own requests in progress.
+	// It has to cover the largest usual lag of reports.
+	pastSlots = 16
+	pastWidth = 500 * time.Millisecond
 )
 
 // Domains chooses a failure domain among candidates whose Free is the reported
@@ -51,8 +51,11 @@
 	trust     float64
 	weight    float64
 	lastProbe time.Time
-	sent      [sentSlots]int32
-	sentAt    int64
+	// open counts the own requests in progress, past what it was at the
+	// beginning of recent intervals.
+	open   int32
+	past   [pastSlots]int32
+	pastAt int64
 }
 
 // Pick implements cove.Picker.
@@ -94,7 +97,7 @@
 	if math.Abs(budget-s.weight) > hysteresis*s.weight {
 		s.weight = budget
 	}
-	return budget - float64(s.sentSince(now, c.LoadAge))
+	return budget - float64(s.grown(now, c.LoadAge))
 }
 
 // probe returns a domain without known room that has not been tried for
@@ -118,20 +121,24 @@
 	s := d.get(name)
 	s.lastProbe = now
 	s.advance(now)
-	s.sent[s.sentAt%sentSlots]++
+	s.open++
 }
 
-// Done records how a request to a domain ended. A refusal for lack of room
-// means that others send there too: it halves the trust in the reports.
-func (d *Domains) Done(name cove.Domain, refused bool) {
+// Done records that a request to a domain has ended.
+func (d *Domains) Done(name cove.Domain, now time.Time) {
 	s := d.get(name)
-	if refused {
-		s.trust = max(s.trust/2, trustMin)
-		return
-	}
+	s.advance(now)
+	s.open = max(0, s.open-1)
 	s.trust += (1 - s.trust) * trustStep
 }
 
+// Refused records that a domain had no room for a request. That means that
+// others send there too, so it halves the trust in the reports.
+func (d *Domains) Refused(name cove.Domain) {
+	s := d.get(name)
+	s.trust = max(s.trust/2, trustMin)
+}
+
 func (d *Domains) get(name cove.Domain) *domainState {
 	s := d.state[name]
 	if s != nil {
@@ -151,31 +158,28 @@
 	return -math.Log(u) / max(s.weight, 1)
 }
 
-// advance moves the ring of own sends to the present.
+// advance moves the ring of past values to the present.
 func (s *domainState) advance(now time.Time) {
-	at := now.UnixNano() / int64(sentWidth)
-	if at <= s.sentAt {
+	at := now.UnixNano() / int64(pastWidth)
+	if at <= s.pastAt {
 		return
 	}
-	for k := max(s.sentAt+1, at-sentSlots+1); k <= at; k++ {
-		s.sent[k%sentSlots] = 0
+	for k := max(s.pastAt+1, at-pastSlots+1); k <= at; k++ {
+		s.past[k%pastSlots] = s.open
 	}
-	s.sentAt = at
+	s.pastAt = at
 }
 
-// sentSince returns the own sends that a report of this age cannot show.
-func (s *domainState) sentSince(now time.Time, age time.Duration) int {
+// grown returns by how much the own requests in progress have grown since a
+// report of this age. Counting the sends instead would take a slot that serves
+// many requests during the lag of a report for one that serves a single one.
+func (s *domainState) grown(now time.Time, age time.Duration) int32 {
 	s.advance(now)
-	buckets := min(int(age/sentWidth)+1, sentSlots)
-	sum := 0
-	for k := range buckets {
-		at := s.sentAt - int64(k)
-		if at < 0 {
-			break
-		}
-		sum += int(s.sent[at%sentSlots])
+	back := int64(age/pastWidth) + 1
+	if back >= pastSlots || s.pastAt < back {
+		return s.open
 	}
-	return sum
+	return s.open - s.past[(s.pastAt-back)%pastSlots]
 }
 
 // freshness discounts a room report by its age.
--- a/internal/route/proxy/hop.go
+++ b/internal/route/proxy/hop.go
@@ -242,7 +242,7 @@
 		t.done(cove.Result{Status: r.Status, Err: r})
 		return f
 	}
-	t.done(cove.Result{Status: r.Status, Shed: true})
+	t.done(cove.Result{Status: r.Status, Shed: true, Err: r})
 	f.retry, f.free = retryOf(r.Reason)
 	return f
 }
