--- a/internal/bench/server/server_test.go
+++ b/internal/bench/server/server_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -26,7 +27,7 @@
 	s := New(Config{Slots: 2, Queue: 1, Run: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })})
 	done := make(chan int, 3)
 	for i := range 3 {
-		go func() { done <- get(t, s, fmt.Sprintf("/%d", i)).Code }()
+		new(sync.WaitGroup).Go(func() { done <- get(t, s, fmt.Sprintf("/%d", i)).Code })
 	}
 	for s.queued.Load() != 1 || len(s.Runs()) != 2 {
 		time.Sleep(time.Millisecond)
--- a/internal/route/proxy/bench_test.go
+++ b/internal/route/proxy/bench_test.go
@@ -28,15 +28,15 @@
 	}
 	b.Cleanup(func() { _ = ln.Close() })
 	answer := []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 200\r\n\r\n" + strings.Repeat("x", 200))
-	go func() {
+	new(sync.WaitGroup).Go(func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			go serveRaw(c, answer)
+			new(sync.WaitGroup).Go(func() { serveRaw(c, answer) })
 		}
-	}()
+	})
 	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
@@ -101,7 +101,7 @@
 	}
 	srv := &http.Server{Handler: bare(backend)}
 	b.Cleanup(func() { _ = srv.Close() })
-	go func() { _ = srv.Serve(ln) }()
+	new(sync.WaitGroup).Go(func() { _ = srv.Serve(ln) })
 	h := newHost(b, "a", nil, Config{}, cove.Target{Server: "s0", Addr: backend, Pool: "main"})
 	return map[string]string{"direct": backend.String(), "bare": ln.Addr().String(), "proxy": h.Addr().String()}
 }
--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -44,6 +44,7 @@
 	// left is the rest of the body or chunk, with the chunk's line end.
 	left int64
 
+	// old is set for versions other than 1.1, in which nothing is chunked.
 	old     bool
 	length  int64
 	lengths int
@@ -129,7 +130,7 @@
 		g.state = guardRaw
 		return true
 	}
-	*g = guard{state: guardHeader, line: g.line, old: bytes.HasSuffix(line, []byte(" HTTP/1.0"))}
+	*g = guard{state: guardHeader, line: g.line, old: !bytes.HasSuffix(line, []byte(" HTTP/1.1"))}
 	return true
 }
 
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -262,7 +262,7 @@
 
 	_, targets = newServers(t, 1, server.Config{Service: time.Minute})
 	h = newHost(t, "b", nil, Config{}, targets...)
-	go func() { _, _ = http.Get(h.url + "/open") }()
+	new(sync.WaitGroup).Go(func() { _, _ = http.Get(h.url + "/open") })
 	waitFor(t, "a request in progress", func() bool { return h.admit.open.Load() > 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/route/proxy/pool_test.go
+++ b/internal/route/proxy/pool_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 	}
 	defer func() { _ = ln.Close() }()
 	accepted := make(chan net.Conn, 8)
-	go func() {
+	new(sync.WaitGroup).Go(func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
@@ -28,7 +29,7 @@
 			}
 			accepted <- c
 		}
-	}()
+	})
 	var clk clock.Manual
 	p := pool{now: clk.Now}
 	addr := netip.MustParseAddrPort(ln.Addr().String())
--- a/internal/route/proxy/shape_test.go
+++ b/internal/route/proxy/shape_test.go
@@ -165,6 +165,7 @@
 		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET /",
 		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nT: 1\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/0.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	} {
 		f.Add([]byte(s))
 	}
@@ -174,6 +175,7 @@
 		br := bufio.NewReader(readerFunc(func(b []byte) (int, error) {
 			n, err := src.Read(b)
 			if passed, ok := g.scan(b[:n]); !ok {
+				g.state = guardEnded
 				return passed, io.EOF
 			}
 			return n, err
--- a/internal/route/proxy/stream_test.go
+++ b/internal/route/proxy/stream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,16 +131,15 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
+		var done sync.WaitGroup
+		done.Go(func() {
 			if resp, err := newClient(t, 1).Do(req); err == nil {
 				_ = resp.Body.Close()
 			}
-		}()
+		})
 		waitFor(t, "the request to run", func() bool { return begun.Load() == int64(2*i+1) })
 		cancel()
-		<-done
+		done.Wait()
 		waitFor(t, "the request to end", func() bool { return ended.Load() == int64(2*i+1) })
 		resp, err := newClient(t, 1).Get(h.url + "/hurry")
 		if err != nil {
@@ -182,7 +182,7 @@
 		c := dialRaw(t, h)
 		_, _ = io.WriteString(c, "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"+header+"\r\n")
 		sent := make(chan error, 1)
-		go func() { sent <- endless(c) }()
+		new(sync.WaitGroup).Go(func() { sent <- endless(c) })
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
 			t.Fatalf("endless body: %v, %v", resp, err)
