Never answer a half-closed caller with an empty 200; save allocations

A flake of TestShapes showed that a refusal was dropped when the caller's context had ended, and net/http then sent an empty 200. Refusals are always written now, and TestHalfClosedCaller fails without the change. The test's own data race on the recorded request is fixed too.

Headers with one value no longer need a slice, the caller's address is formatted once for each connection, and ids are written into arrays.

--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -222,7 +222,7 @@
 	if !p.Keys.Fresh() {
 		return "", errStale
 	}
-	who, err := p.Keys.Authenticate(key, callerAddr(r))
+	who, err := p.Keys.Authenticate(key, callerOf(r).addr)
 	if err != nil {
 		return "", err
 	}
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -94,13 +94,40 @@
 	return max(x.route.Retry.Attempts, 1)
 }
 
-// callerAddr returns the address of the connection.
-func callerAddr(r *http.Request) netip.Addr {
-	ap, err := netip.ParseAddrPort(r.RemoteAddr)
+// caller is what the proxy knows of a caller's connection.
+type caller struct {
+	addr netip.Addr
+	// text is the address, node its form in the Forwarded header.
+	text string
+	node string
+	// block is a stable hash of the client block.
+	block uint64
+}
+
+type callerKey struct{}
+
+// newCaller reads the address of a connection.
+func newCaller(remote string) *caller {
+	ap, err := netip.ParseAddrPort(remote)
 	if err != nil {
-		return netip.Addr{}
+		return &caller{text: "unknown", node: "unknown"}
+	}
+	addr := ap.Addr().Unmap().WithZone("")
+	c := &caller{addr: addr, text: addr.String(), block: blockOf(addr)}
+	c.node = c.text
+	if addr.Is6() {
+		c.node = `"[` + c.text + `]"`
+	}
+	return c
+}
+
+// callerOf returns the caller of a request, which is computed once for each
+// connection.
+func callerOf(r *http.Request) *caller {
+	if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		return c
 	}
-	return ap.Addr().Unmap().WithZone("")
+	return newCaller(r.RemoteAddr)
 }
 
 // Lengths of the prefixes that stand for a client block.
--- a/internal/route/proxy/header.go
+++ b/internal/route/proxy/header.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -25,12 +23,21 @@
 // maxRequestID bounds the request id of a caller.
 const maxRequestID = 96
 
-// field is one header with all its values.
+// field is one header. It has several values, or one in value.
 type field struct {
 	name   string
+	value  string
 	values []string
 }
 
+// list returns all values.
+func (f *field) list() []string {
+	if f.values == nil {
+		return []string{f.value}
+	}
+	return f.values
+}
+
 // hopByHop reports whether a header belongs to one connection only.
 func hopByHop(name string) bool {
 	switch name {
@@ -72,7 +79,7 @@
 		if len(connection) > 0 && listed(connection, name) {
 			continue
 		}
-		dst = append(dst, field{name, values})
+		dst = append(dst, field{name: name, values: values})
 	}
 	return dst
 }
@@ -96,25 +103,16 @@
 
 // forwardedFields returns what the backend server learns of the caller. It
 // holds nothing that the caller claimed.
-func forwardedFields(dst []field, caller netip.Addr, host string, tls bool) []field {
+func forwardedFields(dst []field, c *caller, host string, tls bool) []field {
 	proto := "http"
 	if tls {
 		proto = "https"
 	}
-	addr := caller.String()
-	node := addr
-	if caller.Is6() {
-		node = `"[` + addr + `]"`
-	}
-	forwarded := "for=" + node + ";proto=" + proto
-	dst = append(dst,
-		field{"X-Forwarded-For", []string{addr}},
-		field{"X-Forwarded-Proto", []string{proto}})
-	if host != "" {
-		forwarded += `;host="` + host + `"`
-		dst = append(dst, field{"X-Forwarded-Host", []string{host}})
-	}
-	return append(dst, field{"Forwarded", []string{forwarded}})
+	return append(dst,
+		field{name: "X-Forwarded-For", value: c.text},
+		field{name: "X-Forwarded-Proto", value: proto},
+		field{name: "X-Forwarded-Host", value: host},
+		field{name: "Forwarded", value: "for=" + c.node + ";proto=" + proto + ";host=\"" + host + "\""})
 }
 
 // requestIDs returns the id that the caller gets back and the one that backend
@@ -130,16 +128,19 @@
 }
 
 func randomHex() string {
-	var b [16]byte
-	putUint64(b[:8], rand.Uint64())
-	putUint64(b[8:], rand.Uint64())
-	return hex.EncodeToString(b[:])
+	var b [32]byte
+	appendHex(appendHex(b[:0], rand.Uint64()), rand.Uint64())
+	return string(b[:])
 }
 
-func putUint64(b []byte, v uint64) {
-	for i := range 8 {
-		b[i] = byte(v >> (8 * i))
+const hexDigit = "0123456789abcdef"
+
+// appendHex appends 16 digits.
+func appendHex(dst []byte, v uint64) []byte {
+	for shift := 60; shift >= 0; shift -= 4 {
+		dst = append(dst, hexDigit[v>>shift&15])
 	}
+	return dst
 }
 
 // validToken reports whether s has 1 to max visible ASCII characters.
--- a/internal/route/proxy/hop.go
+++ b/internal/route/proxy/hop.go
@@ -106,8 +106,8 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "build peer request")
 	}
-	for _, f := range x.fields {
-		req.Header[f.name] = f.values
+	for i := range x.fields {
+		req.Header[x.fields[i].name] = x.fields[i].list()
 	}
 	if req.Header["Accept-Encoding"] == nil {
 		// Keeps net/http from asking for a coding that the caller did not ask for.
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -33,6 +34,9 @@
 		IdleTimeout:       p.cfg.IdleTimeout,
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    headerSlack * p.cfg.MaxHeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerKey{}, newCaller(c.RemoteAddr().String()))
+		},
 		// OPTIONS * is refused like every target that is no path.
 		DisableGeneralOptionsHandler: true,
 	}
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -136,7 +136,7 @@
 		if hopByHop(name) || strings.HasPrefix(name, peerPrefix) || name == "Content-Length" || name == "Expect" {
 			continue
 		}
-		x.fields = append(x.fields, field{name, values})
+		x.fields = append(x.fields, field{name: name, values: values})
 	}
 }
 
--- a/internal/route/proxy/refuse.go
+++ b/internal/route/proxy/refuse.go
@@ -46,6 +46,10 @@
 
 func (p *Proxy) writeRefusal(w http.ResponseWriter, id string, r *cove.Refusal) {
 	p.Counters.Add(refusalCounter(r.Reason), 1)
+	writeProblem(w, id, r)
+}
+
+func writeProblem(w http.ResponseWriter, id string, r *cove.Refusal) {
 	h := w.Header()
 	h.Set("Content-Type", problemType)
 	h.Set("Cache-Control", "no-store")
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -13,6 +12,7 @@
 // Names of counters.
 const (
 	counterCanceled = "proxy.canceled"
+	counterRequests = "proxy.requests"
 	counterBroken   = "proxy.brokenAnswers"
 	counterReplayed = "proxy.replayed"
 )
@@ -67,6 +67,7 @@
 
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
 	p.budget.Earn()
+	p.Counters.Add(counterRequests, 1)
 	x := &exchange{w: w, r: r, started: p.Clock.Now()}
 	x.callerID, x.id = requestIDs(r.Header)
 	defer x.end()
@@ -78,13 +79,17 @@
 	p.deliver(x, a)
 }
 
-// fail answers with a refusal, unless the caller has gone.
+// fail answers with a refusal. A caller that has gone is counted apart, but gets
+// the refusal too: it may have closed one direction only, and net/http sends an
+// empty 200 when nothing is written.
 func (p *Proxy) fail(x *exchange, err error) {
+	ref := x.settle(asRefusal(err))
 	if x.r.Context().Err() != nil {
 		p.Counters.Add(counterCanceled, 1)
+		writeProblem(x.w, x.callerID, ref)
 		return
 	}
-	p.writeRefusal(x.w, x.callerID, x.settle(asRefusal(err)))
+	p.writeRefusal(x.w, x.callerID, ref)
 }
 
 // handle takes a caller's request up to the answer.
@@ -92,7 +97,7 @@
 	if err := p.match(x); err != nil {
 		return nil, err
 	}
-	from := callerAddr(x.r)
+	from := callerOf(x.r)
 	if err := p.authenticate(x, from); err != nil {
 		return nil, err
 	}
@@ -145,7 +150,7 @@
 }
 
 // authenticate finds the team of the request, except on open routes.
-func (p *Proxy) authenticate(x *exchange, from netip.Addr) error {
+func (p *Proxy) authenticate(x *exchange, from *caller) error {
 	key, ref := findKey(x.route.Key, x.r)
 	if ref != nil {
 		return ref
@@ -161,7 +166,7 @@
 		return errStale
 	}
 	var err error
-	if x.principal, err = p.Keys.Authenticate(key, from); err != nil {
+	if x.principal, err = p.Keys.Authenticate(key, from.addr); err != nil {
 		return err
 	}
 	x.keyed = true
@@ -183,15 +188,18 @@
 	return false
 }
 
+// ownFields is the number of headers that clean may add.
+const ownFields = 6
+
 // clean builds what is passed on, without keys and without claims of the
 // caller about itself.
-func (p *Proxy) clean(x *exchange, from netip.Addr) error {
+func (p *Proxy) clean(x *exchange, from *caller) error {
 	uri, ref := x.scrub.uri(x.r.URL)
 	if ref != nil {
 		return ref
 	}
 	x.method, x.uri, x.host = x.r.Method, uri, x.r.Host
-	x.fields = make([]field, 0, len(x.r.Header)+6)
+	x.fields = make([]field, 0, len(x.r.Header)+ownFields)
 	x.fields = x.scrub.fields(forwardable(x.fields, x.r.Header))
 	x.fields = forwardedFields(x.fields, from, x.host, x.r.TLS != nil)
 	x.fields = traceFields(x.fields, x.r.Header)
@@ -199,7 +207,7 @@
 }
 
 // prepare sets the deadline and the class of the work.
-func (p *Proxy) prepare(x *exchange, from netip.Addr) {
+func (p *Proxy) prepare(x *exchange, from *caller) {
 	left := x.remaining(p.Clock.Now())
 	x.ctx, x.cancel = context.WithTimeout(x.r.Context(), left)
 	if x.r.ContentLength != 0 {
@@ -207,7 +215,7 @@
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(left))
 	}
 	x.work = p.workClass(x, x.principal.Team)
-	x.work.Block = blockOf(from)
+	x.work.Block = from.block
 }
 
 // workClass describes the request of a team to admission.
--- a/internal/route/proxy/shape_test.go
+++ b/internal/route/proxy/shape_test.go
@@ -20,9 +20,10 @@
 
 // seen keeps the last request of a backend server.
 type seen struct {
-	mu   sync.Mutex
-	n    int
-	last *http.Request
+	mu     sync.Mutex
+	n      int
+	uri    string
+	header http.Header
 }
 
 func (s *seen) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -30,7 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.n++
-	s.last = r
+	s.uri, s.header = r.RequestURI, r.Header.Clone()
 }
 
 // Guards against request shapes that two servers read differently, headers
@@ -109,10 +110,9 @@
 
 func shapeFact(verb, arg string, resp *http.Response, reason, outcome string, backend *seen) (string, bool) {
 	name, value, _ := strings.Cut(arg, ": ")
-	sent := ""
-	if backend.last != nil {
-		sent = strings.Join(backend.last.Header.Values(name), "|")
-	}
+	backend.mu.Lock()
+	uri, sent := backend.uri, strings.Join(backend.header.Values(name), "|")
+	backend.mu.Unlock()
 	switch verb {
 	case "status":
 		return resp.Status, strconv.Itoa(resp.StatusCode) == arg
@@ -125,7 +125,7 @@
 	case "reached":
 		return backend.reached(), backend.reached() == arg
 	case "uri":
-		return backend.last.RequestURI, backend.last.RequestURI == arg
+		return uri, uri == arg
 	case "sent":
 		return sent, sent == value
 	case "starts":
@@ -209,12 +209,12 @@
 		fields := s.fields(forwardable(nil, h))
 		fields = traceFields(fields, h)
 		if validHost(hostName) {
-			fields = forwardedFields(fields, callerAddr(&http.Request{RemoteAddr: "[::1]:7"}), hostName, true)
+			fields = forwardedFields(fields, newCaller("[::1]:7"), hostName, true)
 		}
 		_, upstream := requestIDs(h)
-		fields = append(fields, field{"Id", []string{upstream}})
+		fields = append(fields, field{name: "Id", value: upstream})
 		for _, fd := range fields {
-			for _, v := range fd.values {
+			for _, v := range fd.list() {
 				if fd.name != "Cookie" && !oneLine(v) || strings.Contains(v, testKey) && fd.name != "Id" {
 					t.Fatalf("%s: %q", fd.name, v)
 				}
--- a/internal/route/proxy/stream_test.go
+++ b/internal/route/proxy/stream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -199,3 +200,25 @@
 		t.Fatalf("large header: %v, %v", resp, err)
 	}
 }
+
+// Guards against an empty 200 for a caller that closes its sending side while
+// its request is refused or in progress.
+func TestHalfClosedCaller(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{Service: 2 * time.Millisecond})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	for i := range 60 {
+		c := dialRaw(t, h)
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", [...]string{"/orders", "/open"}[i%2])
+		if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || len(body) == 0 || i%2 == 0 && resp.StatusCode != http.StatusUnauthorized {
+			t.Fatalf("%s %q, %v", resp.Status, body, err)
+		}
+	}
+}
--- a/internal/route/proxy/trace.go
+++ b/internal/route/proxy/trace.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
 )
@@ -18,17 +17,24 @@
 // traceFields continues the caller's trace (W3C Trace Context), or starts one
 // when the caller sent none or an invalid one.
 func traceFields(dst []field, h http.Header) []field {
-	var span [8]byte
-	putUint64(span[:], rand.Uint64()|1)
-	next := hex.EncodeToString(span[:])
+	var buf [traceLen]byte
+	parent := append(buf[:0], "00-"...)
 	v := h["Traceparent"]
-	if len(v) != 1 || !validTraceparent(v[0]) {
-		return append(dst, field{"Traceparent", []string{"00-" + randomHex() + "-" + next + "-00"}})
+	known := len(v) == 1 && validTraceparent(v[0])
+	if known {
+		parent = append(parent, v[0][3:3+traceIDLen]...)
+	} else {
+		parent = appendHex(appendHex(parent, rand.Uint64()|1), rand.Uint64())
 	}
-	parent := "00-" + v[0][3:3+traceIDLen] + "-" + next + v[0][traceLen-3:traceLen]
-	dst = append(dst, field{"Traceparent", []string{parent}})
+	parent = append(parent, '-')
+	parent = appendHex(parent, rand.Uint64()|1)
+	if !known {
+		return append(dst, field{name: "Traceparent", value: string(append(parent, "-00"...))})
+	}
+	parent = append(parent, v[0][traceLen-3:traceLen]...)
+	dst = append(dst, field{name: "Traceparent", value: string(parent)})
 	if s := h["Tracestate"]; len(s) == 1 && len(s[0]) <= maxTracing {
-		dst = append(dst, field{"Tracestate", s})
+		dst = append(dst, field{name: "Tracestate", values: s})
 	}
 	return dst
 }
--- a/internal/route/proxy/wire.go
+++ b/internal/route/proxy/wire.go
@@ -19,6 +19,10 @@
 	line(bw, x.method, " ", x.uri, " HTTP/1.1\r\nHost: ", x.host, "\r\n")
 	for i := range x.fields {
 		f := &x.fields[i]
+		if f.values == nil {
+			line(bw, f.name, ": ", f.value, "\r\n")
+			continue
+		}
 		for _, v := range f.values {
 			if !oneLine(f.name) || !oneLine(v) {
 				return errHead
