--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -72,6 +72,13 @@
 	if x.r.ContentLength > limit {
 		return errKeyBody
 	}
+	need := limit
+	if x.r.ContentLength >= 0 {
+		need = x.r.ContentLength
+	}
+	if !p.hold(x, need) {
+		return errBusy
+	}
 	data, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
 	if err != nil {
 		return bodyError(err)
@@ -84,7 +91,8 @@
 }
 
 // runClaimed runs the request and records the result for repeats. It goes on
-// when the caller leaves, because the repeat asks for this answer.
+// when the caller leaves, because the repeat asks for this answer. An answer
+// that does not fit into memory is passed on but not kept.
 func (p *Proxy) runClaimed(x *exchange, run cove.Run) (*answer, error) {
 	settled := false
 	defer func() {
@@ -102,6 +110,9 @@
 		}
 		return nil, err
 	}
+	if !a.whole && !p.hold(x, p.cfg.MaxKeyedBytes) {
+		return a, nil
+	}
 	whole, err := a.readAll(p.cfg.MaxKeyedBytes)
 	if err != nil {
 		f := a.t.broken(err)
--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -20,6 +20,9 @@
 	// is held in memory to compute its digest. It also bounds the answers that
 	// are kept for repeats.
 	MaxKeyedBytes int64
+	// MaxKeyedTotal bounds the memory of all bodies and answers of keyed
+	// requests in progress.
+	MaxKeyedTotal int64
 	// MaxConns bounds the connections of callers.
 	MaxConns int
 	// MaxRequests bounds the requests in progress on all connections.
@@ -39,6 +42,7 @@
 	setDefault(&c.MaxHeaderBytes, 32<<10)
 	setDefault(&c.MaxBodyBytes, 64<<20)
 	setDefault(&c.MaxKeyedBytes, 1<<20)
+	setDefault(&c.MaxKeyedTotal, 64<<20)
 	setDefault(&c.MaxConns, 16384)
 	setDefault(&c.MaxRequests, 4096)
 	setDefault(&c.HeaderTimeout, 5*time.Second)
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -44,6 +44,8 @@
 	pools   []cove.PoolWeight
 	work    cove.WorkClass
 	exclude cove.Exclude
+	// held is the memory reserved for a keyed request.
+	held int64
 	// tries counts the attempts begun.
 	tries int
 	// mayHaveRun is set when an attempt ended without proof that nothing ran.
@@ -57,7 +59,8 @@
 }
 
 // end releases what the exchange holds.
-func (x *exchange) end() {
+func (p *Proxy) end(x *exchange) {
+	p.keyed.free(x.held)
 	x.body.release()
 	if x.cancel != nil {
 		x.cancel()
@@ -67,6 +70,15 @@
 	}
 }
 
+// hold reserves memory until the exchange ends.
+func (p *Proxy) hold(x *exchange, n int64) bool {
+	if !p.keyed.reserve(n, p.cfg.MaxKeyedTotal) {
+		return false
+	}
+	x.held += n
+	return true
+}
+
 // settle corrects the outcome of a final refusal: one attempt that may have run
 // makes the whole request uncertain.
 func (x *exchange) settle(r *cove.Refusal) *cove.Refusal {
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -150,6 +150,9 @@
 	}
 	post(a, "k1", "y").expect(t, 422, "idempotencyKeyReused", "not-run")
 	post(a, "k2", strings.Repeat("x", 1001)).expect(t, 413, "bodyTooLarge", "not-run")
+	a.cfg.MaxKeyedTotal = 10
+	post(a, "k2", "more than ten").expect(t, 503, "hostLimit", "not-run")
+	a.cfg.MaxKeyedTotal = 10_000
 
 	first = post(a, "at-b1", "x")
 	again = post(b, "at-b1", "x")
--- a/internal/route/proxy/once_test.go
+++ b/internal/route/proxy/once_test.go
@@ -16,7 +16,8 @@
 	"turmericcove.org/cove/internal/bench/server"
 )
 
-// onceSystem is a proxy with two backend servers, and what callers were told.
+// onceSystem is a proxy with a backend server and another host, which has a
+// second one, and what callers were told.
 type onceSystem struct {
 	h       *host
 	client  *http.Client
@@ -50,7 +51,9 @@
 
 func newOnceSystem(t *testing.T, breakIt func(*onceSystem)) *onceSystem {
 	servers, targets := newServers(t, 2, server.Config{})
-	h := newHost(t, "a", nil, Config{}, targets...)
+	fleet := newFakeFleet()
+	newHost(t, "b", fleet, Config{}, targets[1])
+	h := newHost(t, "a", fleet, Config{}, targets[0], cove.Target{Host: "b", Pool: "main", Domain: "se-west-1"})
 	s := &onceSystem{h: h, client: newClient(t, 8), servers: servers, first: map[string]string{}}
 	breakIt(s)
 	return s
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -58,7 +58,7 @@
 		return
 	}
 	x := &exchange{w: w, r: r, started: p.Clock.Now(), peer: true}
-	defer x.end()
+	defer p.end(x)
 	if ref := p.readHop(x); ref != nil {
 		writeHopRefusal(w, ref)
 		return
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -44,6 +44,8 @@
 	own    *http.ServeMux
 	pool   pool
 	budget retry.Budget
+	// keyed is the memory held by keyed requests.
+	keyed  quota
 	routes routeStates
 	tasks  *group.Group
 
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -70,7 +70,7 @@
 	p.Counters.Add(counterRequests, 1)
 	x := &exchange{w: w, r: r, started: p.Clock.Now()}
 	x.callerID, x.id = requestIDs(r.Header)
-	defer x.end()
+	defer p.end(x)
 	a, err := p.handle(x)
 	if err != nil {
 		p.fail(x, err)
--- a/internal/route/proxy/stream_test.go
+++ b/internal/route/proxy/stream_test.go
@@ -193,6 +193,12 @@
 			t.Fatal("the endless body was taken")
 		}
 	}
+	// A caller that never reads its answer.
+	_, targets = newServers(t, 1, server.Config{AnswerBytes: 32 << 20})
+	unread := newHost(t, "u", nil, Config{}, targets...)
+	_, _ = io.WriteString(dialRaw(t, unread), "GET /hurry HTTP/1.1\r\nHost: x\r\n\r\n")
+	waitFor(t, "the unread answer to begin", func() bool { return unread.admit.open.Load() == 1 })
+	waitFor(t, "the unread answer to be given up", func() bool { return unread.admit.open.Load() == 0 })
 	c := dialRaw(t, h)
 	_, _ = io.WriteString(c, "GET /open HTTP/1.1\r\nHost: x\r\nX-Large: "+strings.Repeat("x", 40<<10)+"\r\n\r\n")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
