--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -44,6 +44,8 @@
 	pools   []cove.PoolWeight
 	work    cove.WorkClass
 	exclude cove.Exclude
+	// held is the memory reserved for a keyed request.
+	held int64
 	// tries counts the attempts begun.
 	tries int
 	// mayHaveRun is set when an attempt ended without proof that nothing ran.
@@ -57,7 +59,8 @@
 }
 
 // end releases what the exchange holds.
-func (x *exchange) end() {
+func (p *Proxy) end(x *exchange) {
+	p.keyed.free(x.held)
 	x.body.release()
 	if x.cancel != nil {
 		x.cancel()
@@ -67,6 +70,15 @@
 	}
 }
 
+// hold reserves memory until the exchange ends.
+func (p *Proxy) hold(x *exchange, n int64) bool {
+	if !p.keyed.reserve(n, p.cfg.MaxKeyedTotal) {
+		return false
+	}
+	x.held += n
+	return true
+}
+
 // settle corrects the outcome of a final refusal: one attempt that may have run
 // makes the whole request uncertain.
 func (x *exchange) settle(r *cove.Refusal) *cove.Refusal {
@@ -94,13 +106,40 @@
 	return max(x.route.Retry.Attempts, 1)
 }
 
-// callerAddr returns the address of the connection.
-func callerAddr(r *http.Request) netip.Addr {
-	ap, err := netip.ParseAddrPort(r.RemoteAddr)
+// caller is what the proxy knows of a caller's connection.
+type caller struct {
+	addr netip.Addr
+	// text is the address, node its form in the Forwarded header.
+	text string
+	node string
+	// block is a stable hash of the client block.
+	block uint64
+}
+
+type callerKey struct{}
+
+// newCaller reads the address of a connection.
+func newCaller(remote string) *caller {
+	ap, err := netip.ParseAddrPort(remote)
 	if err != nil {
-		return netip.Addr{}
+		return &caller{text: "unknown", node: "unknown"}
+	}
+	addr := ap.Addr().Unmap().WithZone("")
+	c := &caller{addr: addr, text: addr.String(), block: blockOf(addr)}
+	c.node = c.text
+	if addr.Is6() {
+		c.node = `"[` + c.text + `]"`
+	}
+	return c
+}
+
+// callerOf returns the caller of a request, which is computed once for each
+// connection.
+func callerOf(r *http.Request) *caller {
+	if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		return c
 	}
-	return ap.Addr().Unmap().WithZone("")
+	return newCaller(r.RemoteAddr)
 }
 
 // Lengths of the prefixes that stand for a client block.
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -58,7 +58,7 @@
 		return
 	}
 	x := &exchange{w: w, r: r, started: p.Clock.Now(), peer: true}
-	defer x.end()
+	defer p.end(x)
 	if ref := p.readHop(x); ref != nil {
 		writeHopRefusal(w, ref)
 		return
@@ -136,7 +136,7 @@
 		if hopByHop(name) || strings.HasPrefix(name, peerPrefix) || name == "Content-Length" || name == "Expect" {
 			continue
 		}
-		x.fields = append(x.fields, field{name, values})
+		x.fields = append(x.fields, field{name: name, values: values})
 	}
 }
 
--- a/internal/route/proxy/stream_test.go
+++ b/internal/route/proxy/stream_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,16 +132,15 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
+		var done sync.WaitGroup
+		done.Go(func() {
 			if resp, err := newClient(t, 1).Do(req); err == nil {
 				_ = resp.Body.Close()
 			}
-		}()
+		})
 		waitFor(t, "the request to run", func() bool { return begun.Load() == int64(2*i+1) })
 		cancel()
-		<-done
+		done.Wait()
 		waitFor(t, "the request to end", func() bool { return ended.Load() == int64(2*i+1) })
 		resp, err := newClient(t, 1).Get(h.url + "/hurry")
 		if err != nil {
@@ -182,7 +183,7 @@
 		c := dialRaw(t, h)
 		_, _ = io.WriteString(c, "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"+header+"\r\n")
 		sent := make(chan error, 1)
-		go func() { sent <- endless(c) }()
+		new(sync.WaitGroup).Go(func() { sent <- endless(c) })
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
 			t.Fatalf("endless body: %v, %v", resp, err)
@@ -192,6 +193,12 @@
 			t.Fatal("the endless body was taken")
 		}
 	}
+	// A caller that never reads its answer.
+	_, targets = newServers(t, 1, server.Config{AnswerBytes: 32 << 20})
+	unread := newHost(t, "u", nil, Config{}, targets...)
+	_, _ = io.WriteString(dialRaw(t, unread), "GET /hurry HTTP/1.1\r\nHost: x\r\n\r\n")
+	waitFor(t, "the unread answer to begin", func() bool { return unread.admit.open.Load() == 1 })
+	waitFor(t, "the unread answer to be given up", func() bool { return unread.admit.open.Load() == 0 })
 	c := dialRaw(t, h)
 	_, _ = io.WriteString(c, "GET /open HTTP/1.1\r\nHost: x\r\nX-Large: "+strings.Repeat("x", 40<<10)+"\r\n\r\n")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -199,3 +206,25 @@
 		t.Fatalf("large header: %v, %v", resp, err)
 	}
 }
+
+// Guards against an empty 200 for a caller that closes its sending side while
+// its request is refused or in progress.
+func TestHalfClosedCaller(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{Service: 2 * time.Millisecond})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	for i := range 60 {
+		c := dialRaw(t, h)
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", [...]string{"/orders", "/open"}[i%2])
+		if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || len(body) == 0 || i%2 == 0 && resp.StatusCode != http.StatusUnauthorized {
+			t.Fatalf("%s %q, %v", resp.Status, body, err)
+		}
+	}
+}
