Report latency by kind of request; spread callers over client blocks

Cause: p99 over all requests hid which kind waited, and one block for each site sent all of its callers to one host. Change: covebench run -course prints p50 and p99 by kind; blocks are split in 16.

--- a/internal/bench/trial/mix.go
+++ b/internal/bench/trial/mix.go
@@ -1,7 +1,9 @@
 package trial
 
 import (
+	"encoding/binary"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,3 +113,26 @@
 	}
 	return rate, nil
 }
+
+// blockBits divides a client block of the examples into 16 smaller ones, so
+// that callers of a site spread over its hosts.
+const blockBits = 4
+
+// splitBlocks divides the client blocks of the tables.
+func splitBlocks(blocks []cove.Block) []cove.Block {
+	var out []cove.Block
+	for _, b := range blocks {
+		if b.Prefix.Addr().IsLoopback() {
+			out = append(out, b)
+			continue
+		}
+		bits := b.Prefix.Bits() + blockBits
+		base := binary.BigEndian.Uint32(b.Prefix.Addr().AsSlice())
+		for i := range uint32(1 << blockBits) {
+			var a [4]byte
+			binary.BigEndian.PutUint32(a[:], base|i<<(32-bits))
+			out = append(out, cove.Block{Prefix: netip.PrefixFrom(netip.AddrFrom4(a), bits), Site: b.Site})
+		}
+	}
+	return out
+}
--- a/internal/bench/trial/run.go
+++ b/internal/bench/trial/run.go
@@ -95,6 +95,7 @@
 		return err
 	}
 	dep.Restrict(r.Domains)
+	dep.Table.Blocks = splitBlocks(dep.Table.Blocks)
 	if err := r.addCutover(dep.Table); err != nil {
 		return err
 	}
--- a/internal/bench/trial/series.go
+++ b/internal/bench/trial/series.go
@@ -21,6 +21,14 @@
 	OK      []float64
 	Refused []float64
 	P99Ms   []float64
+	// Routes holds the latency by kind of request.
+	Routes []RouteLatency
+}
+
+// RouteLatency is the latency of one kind of request.
+type RouteLatency struct {
+	Name         string
+	P50Ms, P99Ms float64
 }
 
 func (r *run) series() *Series {
@@ -46,16 +54,27 @@
 		s.Refused = append(s.Refused, refused)
 		s.P99Ms = append(s.P99Ms, p99)
 	}
+	for i, shape := range r.offer.shapes {
+		p50, p99 := quantiles(r.main, func(rec *load.Record) bool { return rec.Shape == i })
+		name := string(shape.Route)
+		if shape.Keyed {
+			name += " with key"
+		}
+		s.Routes = append(s.Routes, RouteLatency{Name: name, P50Ms: p50, P99Ms: p99})
+	}
 	return s
 }
 
-// WriteText writes one line a second.
+// WriteText writes one line a second and one for each kind of request.
 func (s *Series) WriteText(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(tw, "second\tanswered\trefused\tp99 ms\t")
 	for i := range s.OK {
 		fmt.Fprintf(tw, "%d\t%.0f\t%.0f\t%.1f\t\n", i, s.OK[i], s.Refused[i], s.P99Ms[i])
 	}
+	for _, l := range s.Routes {
+		fmt.Fprintf(tw, "%s\tp50 %.1f ms\tp99 %.1f ms\t\n", l.Name, l.P50Ms, l.P99Ms)
+	}
 	return errors.Wrap(tw.Flush(), "write course")
 }
 
