--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -73,6 +73,8 @@
 
 	group *group.Group
 	seq   atomic.Uint64
+	// background runs a task beside the caller.
+	background func(ctx context.Context, fn func(ctx context.Context))
 
 	// publishMu is held while a version is put in force, so that watchers see
 	// versions in order.
@@ -81,6 +83,7 @@
 
 	mu      sync.Mutex
 	cur     state
+	floor   cove.Version // the lowest version that may be in force
 	log     []entry // the newest versions without a gap, up to cur
 	logSize int
 	changed chan struct{} // closed when cur changes
@@ -101,6 +104,8 @@
 // New returns a feed and registers its handler on the peer port.
 func New(cfg Config) *Feed {
 	f := &Feed{Config: cfg, changed: make(chan struct{}), known: make(map[cove.Domain]bool)}
+	f.group = group.New(context.Background())
+	f.background = f.startTask
 	cfg.Peers.Handle(peerpb.NewConfigHandler(&server{feed: f}))
 	return f
 }
@@ -112,7 +117,6 @@
 // tasks that follow it. A host that reaches neither starts without a table.
 func (f *Feed) Start(ctx context.Context) error {
 	f.load(ctx)
-	f.group = group.New(context.WithoutCancel(ctx))
 	f.group.Go(f.pollLoop)
 	f.group.Go(f.followLoop)
 	f.group.Go(f.maintainLoop)
@@ -121,20 +125,24 @@
 
 // Stop implements cove.Service.
 func (f *Feed) Stop(ctx context.Context) error {
-	if f.group == nil {
-		return nil
-	}
 	return errors.Wrap(f.group.Stop(ctx), "stop feed")
 }
 
 // Current implements cove.Tables.
 func (f *Feed) Current() *cove.Table {
-	return f.current().table
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cur.version() < f.floor {
+		return nil
+	}
+	return f.cur.table
 }
 
 // Ready reports whether this host has a table.
 func (f *Feed) Ready() bool { return f.Current() != nil }
 
+// current returns the newest version that this host knows. It is in force unless
+// it is below the floor, which is possible only while the host starts.
 func (f *Feed) current() state {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/state/feed/notify.go
+++ b/internal/state/feed/notify.go
@@ -37,20 +37,23 @@
 	if len(e.data) <= inlineBytes {
 		req.Delta = deltasOf([]entry{e})[0]
 	}
-	g := f.group
-	if g == nil {
-		g = group.New(context.WithoutCancel(ctx))
-	}
 	for _, id := range hosts {
-		g.Go(func(ctx context.Context) error {
+		f.background(ctx, func(ctx context.Context) {
 			if err := f.notify(ctx, id, req); err != nil {
 				f.count("notifyFailed")
 			}
-			return nil
 		})
 	}
 }
 
+// startTask runs a task that ends with the service.
+func (f *Feed) startTask(_ context.Context, fn func(ctx context.Context)) {
+	f.group.Go(func(ctx context.Context) error {
+		fn(ctx)
+		return nil
+	})
+}
+
 func (f *Feed) notify(ctx context.Context, id cove.HostID, req *peerpb.NotifyRequest) error {
 	client, err := f.client(id)
 	if err != nil {
--- a/internal/state/feed/publish.go
+++ b/internal/state/feed/publish.go
@@ -104,9 +104,7 @@
 	f.Counters.Gauge("config.version", float64(next.version()))
 	f.Events.Emit("config.version", source, cove.Field{Name: "version", Value: version})
 	f.postNote()
-	for _, fn := range f.watchers {
-		fn(next.table)
-	}
+	f.tellWatchers()
 }
 
 // extendLog keeps the newest entries. A jump to a snapshot empties the log,
--- a/internal/state/feed/reader.go
+++ b/internal/state/feed/reader.go
@@ -181,7 +181,7 @@
 		view.health = healthOK
 	}
 	f.judge(ctx, &view)
-	f.record(view, start)
+	f.record(ctx, view, start)
 	return view, nil
 }
 
@@ -229,7 +229,7 @@
 // record keeps the result of a verification that began at start. A store that
 // is proved to be older or empty counts as synchronised, because no change can
 // be accepted on top of it.
-func (f *Feed) record(view storeView, start time.Time) {
+func (f *Feed) record(ctx context.Context, view storeView, start time.Time) {
 	f.mu.Lock()
 	was := f.store.health
 	f.store.health = view.health
@@ -244,9 +244,29 @@
 	switch view.health {
 	case healthOK, healthOlder, healthEmpty:
 		f.sawFresh(start)
+	case healthDamaged:
+		f.judgeDeltas(ctx, start)
 	}
 }
 
+// judgeDeltas replaces the damaged head by the deltas: no change can be accepted
+// on top of a damaged head, so this host has seen all of them when it has all
+// the deltas.
+func (f *Feed) judgeDeltas(ctx context.Context, start time.Time) {
+	rows, err := f.Rows.List(ctx, deltaPrefix, deltaKey(f.current().version()), deltaPage)
+	if err != nil {
+		f.unreachable(err)
+		return
+	}
+	for _, row := range rows {
+		e, err := f.entryOf(ctx, row)
+		if err != nil || f.advance([]entry{e}, nil, "store") != nil {
+			return
+		}
+	}
+	f.sawFresh(start)
+}
+
 // contacted notes that the store answered.
 func (f *Feed) contacted() {
 	f.mu.Lock()
--- a/internal/state/feed/tree.go
+++ b/internal/state/feed/tree.go
@@ -73,9 +73,12 @@
 // learnDomains remembers the failure domains that have had hosts. A domain
 // that is cut off stays known, although its hosts are gone from the live set.
 func (f *Feed) learnDomains() {
+	// The live set may ask for the version in force, so it is read without the
+	// lock.
+	members := f.Members.Snapshot()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.Members.Snapshot() {
+	for _, m := range members {
 		f.known[m.Domain] = true
 	}
 }
--- /dev/null
+++ b/internal/state/feed/withdraw_test.go
@@ -0,0 +1,253 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/bench/platf"
+	"turmericcove.org/cove/internal/state/feed"
+	"turmericcove.org/cove/internal/state/keys"
+)
+
+// withdrawBound is when a withdrawn key must be accepted nowhere (B4).
+const withdrawBound = 9 * time.Second
+
+// gate decides about keys on one host as the request path does: a host that is
+// not fresh refuses.
+type gate interface {
+	Authenticate(key string, from netip.Addr) (cove.Principal, error)
+	Valid(p cove.Principal) bool
+	Fresh() bool
+}
+
+// keyOracle knows when each key was withdrawn.
+type keyOracle struct {
+	fl        *fleet
+	gates     func(h *host) gate
+	texts     map[string]string    // the keys by name
+	withdrawn map[string]time.Time // the end of the call that withdrew it
+	early     map[string]cove.Principal
+}
+
+// check asks every host about every key that was withdrawn long enough ago,
+// as a new request and as one that was authenticated before.
+func (o *keyOracle) check() error {
+	now := o.fl.clock.Now()
+	for name, at := range o.withdrawn {
+		if now.Sub(at) < withdrawBound {
+			continue
+		}
+		for _, h := range o.fl.hosts {
+			g := o.gates(h)
+			if !g.Fresh() {
+				continue
+			}
+			if _, err := g.Authenticate(o.texts[name], netip.MustParseAddr("192.0.2.1")); err == nil {
+				return errors.Errorf("host %d accepts key %s %v after its withdrawal", h.n, name, now.Sub(at))
+			}
+			if g.Valid(o.early[name]) {
+				return errors.Errorf("host %d runs a queued request with key %s %v after its withdrawal", h.n, name, now.Sub(at))
+			}
+		}
+	}
+	return nil
+}
+
+func (o *keyOracle) give(h *host, name string) {
+	key, _, err := keys.Give(context.Background(), h.feed, "red", name, name)
+	if err != nil {
+		return
+	}
+	o.texts[name] = key
+	if p, err := h.keys.Authenticate(key, netip.MustParseAddr("192.0.2.1")); err == nil {
+		o.early[name] = p
+	}
+}
+
+func (o *keyOracle) withdraw(h *host, x uint32) {
+	for name := range o.texts {
+		if _, done := o.withdrawn[name]; done || !strings.HasSuffix(name, fmt.Sprint(x%2)) {
+			continue
+		}
+		if _, err := keys.Withdraw(context.Background(), h.feed, "red", name, name); err == nil {
+			o.withdrawn[name] = o.fl.clock.Now()
+		}
+		return
+	}
+}
+
+func runKeys(fl *fleet, gates func(h *host) gate, ops []uint32) error {
+	o := &keyOracle{
+		fl: fl, gates: gates, texts: make(map[string]string),
+		withdrawn: make(map[string]time.Time), early: make(map[string]cove.Principal),
+	}
+	if err := fl.Apply(0, rateTable(nil, 1), "first"); err != nil {
+		return err
+	}
+	for i, x := range ops {
+		h := fl.hosts[int(x>>8)%len(fl.hosts)]
+		switch kind := x % 16; {
+		case kind < 2:
+			o.give(h, fmt.Sprintf("k%d", i))
+		case kind < 4:
+			o.withdraw(h, x>>16)
+		case kind < 12:
+			for range 1 + x>>16%24 {
+				fl.round()
+				if err := o.check(); err != nil {
+					return errors.WithMessagef(err, "operation %d (%#x)", i, x)
+				}
+			}
+		case kind < 13:
+			fl.heal()
+		default:
+			fl.fault(x >> 4)
+		}
+	}
+	fl.heal()
+	for range 40 { // 10 s
+		fl.round()
+	}
+	return o.converged()
+}
+
+// converged checks that every host has exactly the keys that were not
+// withdrawn, as far as the results of the changes are known.
+func (o *keyOracle) converged() error {
+	for _, h := range o.fl.hosts {
+		if !h.keys.Fresh() {
+			return errors.Errorf("host %d is not fresh", h.n)
+		}
+		for name, text := range o.texts {
+			_, gone := o.withdrawn[name]
+			_, err := h.keys.Authenticate(text, netip.MustParseAddr("198.51.100.1"))
+			if gone && err == nil {
+				return errors.Errorf("host %d accepts the withdrawn key %s", h.n, name)
+			}
+		}
+	}
+	return nil
+}
+
+// TestKeyWithdrawal guards against a key that is accepted more than 9 s after
+// its withdrawal, by a new or a queued request, under outages, older reads, lost
+// answers and partitions.
+func TestKeyWithdrawal(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(20260602)
+	params.MinSuccessfulTests = 15
+	params.MinSize, params.MaxSize = 20, 60
+	props := gopter.NewProperties(params)
+	props.Property("no host accepts a withdrawn key", prop.ForAll(func(ops []uint32) (bool, error) {
+		err := runKeys(newFleet(uint64(len(ops))), func(h *host) gate { return h.keys }, ops)
+		return err == nil, err
+	}, gen.SliceOf(gen.UInt32())))
+	props.TestingRun(t)
+}
+
+// alwaysFresh is a broken authenticator that trusts its table at any age.
+type alwaysFresh struct{ *keys.Keys }
+
+func (alwaysFresh) Fresh() bool { return true }
+
+// TestKeyOracle shows that the oracle of TestKeyWithdrawal catches a host that
+// goes on serving with an old table.
+func TestKeyOracle(t *testing.T) {
+	const give, withdraw, wait = 0, 2, 4 | 23<<16
+	cutFirstDomain := uint32(15 | 5<<4)
+	other := uint32(5) << 8 // a host of the second domain
+	history := []uint32{give, wait, cutFirstDomain, withdraw | other, wait, wait, wait}
+	if err := runKeys(newFleet(1), func(h *host) gate { return h.keys }, history); err != nil {
+		t.Errorf("product: %v", err)
+	}
+	err := runKeys(newFleet(1), func(h *host) gate { return alwaysFresh{h.keys} }, history)
+	if err == nil || !strings.Contains(err.Error(), "after its withdrawal") {
+		t.Errorf("always fresh: got %v, want an error", err)
+	}
+}
+
+// TestOutageKeepsHostsFresh guards against a fleet that refuses all keys while
+// nobody can reach the store, and against one that accepts them when a part of
+// the fleet may still accept changes.
+func TestOutageKeepsHostsFresh(t *testing.T) {
+	fl := newFleet(1)
+	if err := fl.Apply(0, rateTable(nil, 1), "first"); err != nil {
+		t.Fatal(err)
+	}
+	wait := func(d time.Duration) {
+		for range d / (250 * time.Millisecond) {
+			fl.round()
+		}
+	}
+	wait(2 * time.Second)
+	fl.plat.SetFaults(platf.Faults{Outage: true})
+	for range 120 {
+		fl.round()
+		for _, h := range fl.hosts {
+			if !h.keys.Fresh() {
+				t.Fatalf("host %d is stale during an outage for all", h.n)
+			}
+		}
+	}
+	fl.partition(0, false)
+	wait(6 * time.Second)
+	for _, h := range fl.hosts {
+		if h.keys.Fresh() {
+			t.Errorf("host %d is fresh, although it cannot know whether the others reach the store", h.n)
+		}
+	}
+	fl.heal()
+	wait(3 * time.Second)
+	for _, h := range fl.hosts {
+		if !h.keys.Fresh() {
+			t.Errorf("host %d is stale after the end of the faults", h.n)
+		}
+	}
+}
+
+// TestStoreLoss guards against hosts that give up their tables when the store is
+// emptied, taken back or damaged, and against changes on top of such a store.
+func TestStoreLoss(t *testing.T) {
+	for name, lose := range map[string]func(p *platf.Platform){
+		"empty":   func(p *platf.Platform) { p.Wipe() },
+		"older":   func(p *platf.Platform) { p.Rollback(2) },
+		"damaged": func(p *platf.Platform) { p.Damage("config/head", []byte("x")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			fl := newFleet(1)
+			for i := range 5 {
+				if err := fl.Apply(0, rateTable(fl.Current(0), float64(i+1)), "a"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			lose(fl.plat)
+			for range 40 { // 10 s
+				fl.round()
+			}
+			for n, h := range fl.hosts {
+				if got := fl.Current(n).Version; got != 5 {
+					t.Errorf("host %d has version %d, want 5", n, got)
+				}
+				if !h.keys.Fresh() {
+					t.Errorf("host %d is stale", n)
+				}
+			}
+			if got := fl.hosts[0].meter.Count("config.store." + name); got != 1 {
+				t.Errorf("counter config.store.%s is %d, want 1", name, got)
+			}
+			err := fl.Apply(0, rateTable(fl.Current(0), 9), "b")
+			if !errors.Is(err, feed.ErrStore) {
+				t.Errorf("apply: got %v, want ErrStore", err)
+			}
+		})
+	}
+}
