--- a/internal/fleet/member/beat.go
+++ b/internal/fleet/member/beat.go
@@ -236,7 +236,9 @@
 		return
 	}
 	l := n.open(from, inc, m)
-	n.learnAll(l, m)
+	if l.incarnation == inc {
+		n.learnAll(l, m)
+	}
 	if !n.hear(l, inc, m) {
 		n.flush()
 		return
@@ -317,7 +319,8 @@
 func (n *node) compare(l *link, m *peerpb.MemberBeat) {
 	if m.Hash == n.table.hash {
 		l.differs = time.Time{}
-		n.joined = true
+		r := n.table.records[l.id]
+		n.joined = n.joined || r != nil && r.State != cove.HostStarting
 		n.onAges(m)
 		return
 	}
@@ -327,12 +330,12 @@
 }
 
 func (n *node) reply(l *link, m *peerpb.MemberBeat) {
-	neighbour := slices.ContainsFunc(n.targets, func(t target) bool { return t.id == l.id })
-	if m.Probe || (len(m.DomainHashes) > 0 && n.now.Sub(l.sent) >= flushGap) {
+	joining := n.state == cove.HostStarting && !l.differs.IsZero() && n.now.Sub(l.hashes) >= joinHashInterval
+	if m.Probe || joining || (len(m.DomainHashes) > 0 && n.now.Sub(l.sent) >= flushGap) {
 		n.send(l, false)
 		return
 	}
-	if !neighbour && n.now.Sub(l.sent) >= replyGap {
+	if !n.isTarget(l.id) && n.now.Sub(l.sent) >= replyGap {
 		n.send(l, true)
 	}
 }
--- a/internal/fleet/member/detect.go
+++ b/internal/fleet/member/detect.go
@@ -16,18 +16,27 @@
 	// probeWait is the time in which a living host answers a probe, also over a
 	// link of 35 ms each way that loses a packet.
 	probeWait = 350 * time.Millisecond
+	// gatewayWait is the time in which other domains begin to speak to a new
+	// gateway.
+	gatewayWait = 500 * time.Millisecond
 	// askWait is the time in which another observer answers a question.
 	askWait = 500 * time.Millisecond
 	// askAgain is the pause after an observer has heard the suspect.
-	askAgain = 2 * time.Second
-	// aloneAfter is the silence of all hosts, or of all other domains, after
-	// which this host shows them as gone without another observer.
+	askAgain = time.Second
+	// aloneAfter is the silence of all hosts after which this host shows them
+	// as gone without another observer.
 	aloneAfter = 2 * time.Second
+	// cutOffAfter is the silence of all other domains after which a gateway
+	// says so. Its domain acts on it after cutOffHold, in which the others
+	// begin to speak to a new gateway.
+	cutOffAfter = 1700 * time.Millisecond
+	cutOffHold  = 400 * time.Millisecond
 	// observers is the number of others that are asked about a suspect, and
 	// cautiousObservers that after the suspect has contradicted lately.
 	observers         = 2
 	cautiousObservers = 4
 	contradictMemory  = time.Minute
+	maxDoublings      = 3
 	// A rack fails as a whole, so neighbours of a suspect are probed at once.
 	rackProbes    = 8
 	domainProbes  = 3
@@ -68,6 +77,8 @@
 	turn     int
 	alone    bool
 	cutOff   bool
+	cutBy    []cove.HostID
+	cutSince time.Time
 }
 
 func (d *detector) init() {
@@ -100,24 +111,30 @@
 func (n *node) watch() map[subject]bool {
 	now := make(map[subject]time.Time)
 	out := make(map[subject]bool)
-	note := func(s subject, heard time.Time) {
+	note := func(s subject, heard time.Time, wait time.Duration) {
 		since, ok := n.detector.since[s]
 		if !ok {
 			since = n.now
 		}
 		now[s] = since
-		if n.silence(heard, since) >= silentAfter {
+		if n.silence(heard) >= silentAfter && n.silence(since) >= wait {
 			out[s] = true
 		}
 	}
 	for _, t := range n.targets {
-		if r := n.table.records[t.id]; t.watched && r != nil {
-			note(subject{host: t.id}, later(r.heard, r.changed))
+		r := n.table.records[t.id]
+		if !t.watched || r == nil {
+			continue
+		}
+		s := subject{host: t.id}
+		if _, known := n.detector.since[s]; !known && n.now.Sub(r.heard) > recentlyHeard {
+			n.probeOnce(t.id)
 		}
+		note(s, later(r.heard, r.changed), silentAfter)
 	}
 	if n.rank >= 0 {
 		for _, name := range n.neighbourDomains() {
-			note(subject{domain: name}, later(n.table.domain(name).seen, n.gatewaySince))
+			note(subject{domain: name}, n.table.domain(name).seen, gatewayWait)
 		}
 	}
 	n.detector.since = now
@@ -152,11 +169,18 @@
 	waited := n.now.Sub(p.asked)
 	switch {
 	case p.alive && waited >= askAgain:
-		*p = suspicion{round: p.round + 1}
+		*p = suspicion{}
 		n.ask(s, p)
 	case p.alive:
+	case n.silence(n.heard) >= silentAfter:
+		// A host that hears nobody must not report others as gone.
 	case p.silent > 0 && (p.silent >= p.askees || waited >= askWait):
 		n.declare(s)
+	case waited >= askWait && p.askees == 0:
+		// This host is the only neighbour, so there is nobody else to agree,
+		// and nobody who would need time to contradict.
+		n.declare(s)
+		n.show(s)
 	case waited >= askWait:
 		*p = suspicion{round: p.round + 1}
 		n.ask(s, p)
@@ -170,13 +194,11 @@
 	if at, ok := n.detector.declared[s.host]; ok && n.now.Sub(at) < contradictMemory {
 		count = cautiousObservers
 	}
+	// Those that did not answer may have failed too, so each round asks more.
+	count <<= min(p.round, maxDoublings)
 	all := n.observersOf(s)
-	if len(all) == 0 {
-		return
-	}
-	start := p.round * count % len(all)
-	for i := range min(count, len(all)) {
-		l := n.link(all[(start+i)%len(all)])
+	for _, id := range all[:min(count, len(all))] {
+		l := n.link(id)
 		m := n.message(l)
 		m.Questions = []*peerpb.MemberQuestion{{Host: string(s.host), Domain: string(s.domain)}}
 		n.post(l, m, n.takeUrgent(l, m))
@@ -214,6 +236,21 @@
 			add(r)
 		}
 	}
+	for _, name := range names {
+		if name == n.self.Domain || name == s.domain {
+			continue
+		}
+		for _, r := range n.table.reachable(name) {
+			add(r)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	// Without a third domain the others of the own one have to do.
+	for _, r := range n.table.domain(n.self.Domain).hosts {
+		add(r)
+	}
 	return out
 }
 
@@ -259,14 +296,23 @@
 }
 
 func (n *node) probeDomain(name cove.Domain) {
+	for _, id := range n.someHosts(name) {
+		n.probe(id)
+	}
+}
+
+// someHosts returns hosts of a domain, others each time.
+func (n *node) someHosts(name cove.Domain) []cove.HostID {
 	hosts := n.table.domain(name).hosts
-	for i := range min(domainProbes, len(hosts)) {
+	var ids []cove.HostID
+	for range min(domainProbes, len(hosts)) {
 		n.detector.turn++
-		n.probe(hosts[(n.detector.turn+i)%len(hosts)].ID)
+		ids = append(ids, hosts[n.detector.turn%len(hosts)].ID)
 	}
+	return ids
 }
 
-// declare reports a subject as gone, which two observers have found.
+// declare reports a subject as gone.
 func (n *node) declare(s subject) {
 	delete(n.detector.suspicions, s)
 	n.cfg.Counters.Add("member.declared", 1)
@@ -285,7 +331,18 @@
 	n.detector.declared[s.host] = n.now
 	n.table.put(r.with(cove.HostGone, r.sequence), n.now)
 	n.spread(itemKey{kind: itemEntry, name: string(s.host)}, "", true)
-	n.emit("member.gone", "two observers agree", cove.Field{Name: "host", Value: string(s.host)})
+	n.emit("member.gone", "silent to its observers", cove.Field{Name: "host", Value: string(s.host)})
+}
+
+// show makes a declaration visible at once.
+func (n *node) show(s subject) {
+	if s.domain != "" {
+		n.table.domain(s.domain).markUntil = n.now
+		return
+	}
+	if r := n.table.records[s.host]; r != nil && r.State == cove.HostGone {
+		r.shownUntil = n.now
+	}
 }
 
 // cleared ends what was in question about a host that was heard.
@@ -300,8 +357,12 @@
 	}
 }
 
-// onQuestions answers questions of another host, after a probe if need be.
+// onQuestions answers questions of another host, after a probe if need be. A
+// starting host knows too little to answer.
 func (n *node) onQuestions(l *link, qs []*peerpb.MemberQuestion) {
+	if n.state == cove.HostStarting {
+		return
+	}
 	for _, m := range qs {
 		s := subject{host: cove.HostID(m.Host), domain: cove.Domain(m.Domain)}
 		heard, ids := n.evidence(s)
@@ -309,6 +370,9 @@
 			n.answer(s, &inquiry{askers: []cove.HostID{l.id}}, true)
 			continue
 		}
+		if len(ids) == 0 {
+			continue
+		}
 		q := n.detector.inquiries[s]
 		if q == nil {
 			q = &inquiry{deadline: n.now.Add(probeWait)}
@@ -330,13 +394,7 @@
 		}
 		return r.heard, []cove.HostID{s.host}
 	}
-	d := n.table.domain(s.domain)
-	var ids []cove.HostID
-	for i := range min(domainProbes, len(d.hosts)) {
-		n.detector.turn++
-		ids = append(ids, d.hosts[(n.detector.turn+i)%len(d.hosts)].ID)
-	}
-	return d.seen, ids
+	return n.table.domain(s.domain).seen, n.someHosts(s.domain)
 }
 
 func (n *node) answerInquiries() {
--- a/internal/fleet/member/isolate.go
+++ b/internal/fleet/member/isolate.go
@@ -18,8 +18,7 @@
 		n.emit("member.alone", "no host heard", boolField(alone))
 	}
 	n.noteCutOff()
-	cut := n.domainCutOff()
-	if cut != d.cutOff {
+	if cut := n.domainCutOff(); cut != d.cutOff && n.now.Sub(d.cutSince) >= cutOffHold {
 		d.cutOff = cut
 		n.table.revision++
 		n.emit("member.cutOff", "no other domain heard", boolField(cut))
@@ -45,9 +44,8 @@
 		return
 	}
 	others := slices.ContainsFunc(n.table.names, func(name cove.Domain) bool { return name != n.self.Domain })
-	cut := others && n.silence(n.heardOut, n.gatewaySince) >= aloneAfter
-	k := itemKey{kind: itemNote, name: string(n.self.ID), topic: cutOffTopic}
-	if n.saysCutOff(k) != cut {
+	cut := others && n.silence(n.heardOut) >= cutOffAfter && (n.detector.cutOff || n.silence(n.gatewaySince) >= gatewayWait)
+	if n.saysCutOff(n.own) != cut {
 		value := []byte{0}
 		if cut {
 			value[0] = 1
@@ -56,20 +54,27 @@
 	}
 }
 
-func (n *node) saysCutOff(k itemKey) bool {
-	p := n.notes[k]
-	return p != nil && len(p.value) == 1 && p.value[0] == 1
+func (n *node) saysCutOff(r *record) bool {
+	p := n.notes[itemKey{kind: itemNote, name: string(r.ID), topic: cutOffTopic}]
+	return p != nil && p.incarnation == shortIncarnation(r.Incarnation) && len(p.value) == 1 && p.value[0] == 1
 }
 
 // domainCutOff reports whether all gateways of this domain hear no other one.
+// It notes since when the same gateways say something new.
 func (n *node) domainCutOff() bool {
+	d := &n.detector
 	gs := n.table.gateways(n.self.Domain)
+	same := slices.EqualFunc(gs, d.cutBy, func(r *record, id cove.HostID) bool { return r.ID == id })
+	all := len(gs) > 0
+	d.cutBy = d.cutBy[:0]
 	for _, r := range gs {
-		if !n.saysCutOff(itemKey{kind: itemNote, name: string(r.ID), topic: cutOffTopic}) {
-			return false
-		}
+		d.cutBy = append(d.cutBy, r.ID)
+		all = all && n.saysCutOff(r)
+	}
+	if all == d.cutOff || !same {
+		d.cutSince = n.now
 	}
-	return len(gs) > 0
+	return all
 }
 
 // probeLost looks for hosts and domains that were reported as gone and may be
@@ -143,6 +148,9 @@
 	if n.detector.alone || (n.detector.cutOff && r.Domain != n.self.Domain) {
 		return cove.HostGone
 	}
+	if r.seed && n.silence(r.changed) >= seedSilent {
+		return cove.HostGone
+	}
 	state := r.State
 	if state == cove.HostGone && n.now.Before(r.shownUntil) {
 		state = r.shown
--- a/internal/fleet/member/node.go
+++ b/internal/fleet/member/node.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"turmericcove.org/cove"
@@ -15,7 +16,10 @@
 	// because it is the first one or all start together.
 	joinLimit     = 1500 * time.Millisecond
 	purgeInterval = 10 * time.Second
-	protocol      = 1
+	// activeWindow is the time in which a peer that is no neighbour counts as
+	// one for changes, because the neighbour that it replaces may have failed.
+	activeWindow = 2 * time.Second
+	protocol     = 1
 )
 
 type envelope struct {
@@ -130,20 +134,27 @@
 	n.cfg.Events.Emit(kind, cause, fields...)
 }
 
-// spread queues an item for all neighbours but the one it came from.
+// spread queues an item for all neighbours and other active peers, but not for
+// the one it came from.
 func (n *node) spread(k itemKey, from cove.HostID, urgent bool) {
 	n.retarget()
 	for _, t := range n.targets {
-		if t.id == from {
+		n.link(t.id)
+	}
+	for id, l := range n.links {
+		if id == from || !n.carries(l, k) {
 			continue
 		}
-		l := n.link(t.id)
-		if n.carries(l, k) {
+		if n.isTarget(id) || (k.kind != itemNote && n.now.Sub(l.sent) < activeWindow) {
 			l.queueOf(k, urgent).push(k)
 		}
 	}
 }
 
+func (n *node) isTarget(id cove.HostID) bool {
+	return slices.ContainsFunc(n.targets, func(t target) bool { return t.id == id })
+}
+
 // link returns the state of the exchange with a peer.
 func (n *node) link(id cove.HostID) *link {
 	l := n.links[id]
@@ -160,10 +171,11 @@
 	return l
 }
 
-// fill queues what a peer certainly lacks at the start of an exchange. Entries
-// of other hosts follow when the hashes differ.
+// fill queues what a peer may lack at the start of an exchange. Older entries
+// follow when the hashes differ.
 func (n *node) fill(l *link) {
 	l.urgent.push(itemKey{kind: itemEntry, name: string(n.self.ID)})
+	n.catchUp(l)
 	for k := range n.notes {
 		if n.carries(l, k) {
 			l.notes.push(k)
--- a/internal/fleet/member/ring.go
+++ b/internal/fleet/member/ring.go
@@ -18,6 +18,8 @@
 	// minChords is the smallest ring that has chords; in smaller ones they
 	// save no step.
 	minChords = 6
+	// catchUpWindow is above the time in which a failed neighbour is found.
+	catchUpWindow = 5 * time.Second
 )
 
 // target is a peer to which this host sends heartbeats.
@@ -113,7 +115,13 @@
 		return
 	}
 	n.targetsAt = n.table.revision
+	former := n.targets
 	n.targets = append(n.hostTargets(), n.domainTargets()...)
+	for _, t := range n.targets {
+		if !slices.ContainsFunc(former, func(f target) bool { return f.id == t.id }) {
+			n.fill(n.link(t.id))
+		}
+	}
 	rank := n.gatewayRank()
 	if rank == 0 && n.rank != 0 {
 		n.queueOwnFleetNotes()
@@ -123,3 +131,18 @@
 	}
 	n.rank = rank
 }
+
+// catchUp queues the latest changes for a new target, because they may have
+// been sent to a neighbour that has failed in the meantime.
+func (n *node) catchUp(l *link) {
+	for id, r := range n.table.records {
+		if !r.seed && n.now.Sub(r.changed) < catchUpWindow {
+			l.urgent.push(itemKey{kind: itemEntry, name: string(id)})
+		}
+	}
+	for name, d := range n.table.domains {
+		if d.mark > 0 && n.now.Sub(d.markUntil) < catchUpWindow {
+			l.urgent.push(itemKey{kind: itemMark, name: string(name)})
+		}
+	}
+}
--- a/internal/fleet/member/seed.go
+++ b/internal/fleet/member/seed.go
@@ -16,9 +16,13 @@
 	// after this time.
 	listLag = 30 * time.Second
 
+	// seedSilent is the silence after which a host that only the list names
+	// counts as gone.
+	seedSilent = 2 * time.Second
+
 	joinContactInterval = 250 * time.Millisecond
 	contactInterval     = 2 * time.Second
-	joinContacts        = 3
+	joinContacts        = 2
 )
 
 // leavingMark is a mark of the platform's list.
@@ -121,7 +125,7 @@
 // contactSeeds sends a message to hosts that only the list has named.
 func (n *node) contactSeeds() {
 	every, count := contactInterval, 1
-	if !n.joined {
+	if !n.joined || n.heard.IsZero() {
 		every, count = joinContactInterval, joinContacts
 	}
 	if n.now.Sub(n.seeds.contact) < every {
@@ -132,14 +136,11 @@
 	if n.joined && n.rank < 0 {
 		far = nil
 	}
-	for i := range count {
-		ids := near
-		if len(near) == 0 || i == joinContacts-1 && len(far) > 0 {
-			ids = far
-		}
+	for range count {
 		n.seeds.turn++
-		n.probeTurnAt(ids, n.seeds.turn)
+		n.probeTurnAt(near, n.seeds.turn)
 	}
+	n.probeTurnAt(far, n.seeds.turn/count)
 }
 
 // seedIDs returns the hosts of the own and of other domains that only the list
--- a/internal/fleet/member/sim_test.go
+++ b/internal/fleet/member/sim_test.go
@@ -47,6 +47,7 @@
 	clock clock.Manual
 	procs map[cove.HostID]*process
 	old   []*process
+	runs  int
 	queue []delivery
 	cut   map[[2]cove.HostID]bool
 	list  []cove.ListedHost
@@ -113,7 +114,8 @@
 	i := slices.IndexFunc(f.list, func(h cove.ListedHost) bool { return h.ID == id })
 	h := f.list[i]
 	var inc cove.Incarnation
-	copy(inc[:], fmt.Sprintf("%03d%s", len(f.old), id))
+	f.runs++
+	copy(inc[:], fmt.Sprintf("%03d%s", f.runs, id))
 	p := &process{id: id, domain: h.Domain, started: f.clock.Now(), up: true, version: 1}
 	if former := f.procs[id]; former != nil {
 		f.old = append(f.old, former)
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -173,24 +173,23 @@
 	return rs
 }
 
-// gateways returns the first two live hosts of a domain, or the first two of
-// any state when none is live.
+// gateways returns the first two live hosts of a domain. While there are fewer
+// it fills up with hosts in other states.
 func (t *table) gateways(name cove.Domain) []*record {
-	rs := t.reachable(name)
 	var out []*record
-	for _, r := range rs {
-		if r.State != cove.HostLive {
-			continue
-		}
-		out = append(out, r)
-		if len(out) == gatewaysPerDomain {
-			return out
+	rs := t.reachable(name)
+	for _, live := range []bool{true, false} {
+		for _, r := range rs {
+			if (r.State == cove.HostLive) != live {
+				continue
+			}
+			out = append(out, r)
+			if len(out) == gatewaysPerDomain {
+				return out
+			}
 		}
 	}
-	if len(out) > 0 {
-		return out
-	}
-	return rs[:min(len(rs), gatewaysPerDomain)]
+	return out
 }
 
 // purge drops the entries of hosts that are gone for long.
