Make the timer of a request's context only when something waits for it

A request's context cost 7 allocations and a timer, watching it 5 more. The deadline is now set on the connection, and the context makes its timer at the first call of Done.

--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -100,8 +100,8 @@
 			run.Unknown()
 		}
 	}()
-	x.cancel()
-	x.ctx, x.cancel = context.WithTimeout(context.WithoutCancel(x.r.Context()), x.remaining(p.Clock.Now()))
+	x.ctx.end()
+	x.ctx = x.ctx.detach()
 	a, err := p.run(x)
 	if err != nil {
 		settled = x.settle(asRefusal(err)).Outcome == cove.NotRun
--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -49,6 +49,14 @@
 	headLeft int64
 	// wrote is set when a byte of the current request was handed to the kernel.
 	wrote bool
+	// deadline is of the current exchange.
+	deadline time.Time
+	// closeFunc and peekFunc are made once, so that exchanges need not allocate
+	// them. peekFunc leaves its result in peeked.
+	closeFunc func()
+	peekFunc  func(fd uintptr)
+	peekByte  [1]byte
+	peeked    error
 }
 
 var dialer = net.Dialer{
@@ -76,6 +84,8 @@
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
 	c := &conn{nc: nc, addr: addr}
+	c.closeFunc = c.close
+	c.peekFunc = c.peek
 	c.br = bufio.NewReaderSize((*connReader)(c), connBuffer)
 	c.bw = bufio.NewWriterSize((*connWriter)(c), connBuffer)
 	if sc, ok := nc.(syscall.Conn); ok {
@@ -115,24 +125,26 @@
 }
 
 // begin prepares the connection for the next exchange.
-func (c *conn) begin() {
+func (c *conn) begin(deadline time.Time) error {
 	c.wrote = false
 	c.headLeft = maxAnswerHeader
+	c.deadline = deadline
+	return c.nc.SetDeadline(deadline)
 }
 
-// waitByte waits for the first byte of the answer. Zero waits without limit.
-// After errNoByte it may be called again.
+// waitByte waits for the first byte of the answer. After errNoByte it may be
+// called again.
 func (c *conn) waitByte(wait time.Duration) error {
-	if wait > 0 {
-		if err := c.nc.SetReadDeadline(time.Now().Add(wait)); err != nil {
-			return err
-		}
+	until := time.Now().Add(wait)
+	if !until.Before(c.deadline) {
+		return nil
+	}
+	if err := c.nc.SetReadDeadline(until); err != nil {
+		return err
 	}
 	_, err := c.br.Peek(1)
-	if wait > 0 {
-		if derr := c.nc.SetReadDeadline(time.Time{}); derr != nil && err == nil {
-			err = derr
-		}
+	if derr := c.nc.SetReadDeadline(c.deadline); derr != nil && err == nil {
+		err = derr
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return errNoByte
@@ -171,14 +183,16 @@
 	if c.raw == nil {
 		return true
 	}
-	ok := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		ok = rerr == unix.EAGAIN
-		return true
-	})
-	return err == nil && ok
+	c.peeked = nil
+	// Control needs no deadline, and an expired one is of no interest here.
+	if err := c.raw.Control(c.peekFunc); err != nil {
+		return false
+	}
+	return errors.Is(c.peeked, unix.EAGAIN)
+}
+
+func (c *conn) peek(fd uintptr) {
+	_, _, c.peeked = unix.Recvfrom(int(fd), c.peekByte[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 }
 
 func (c *conn) close() {
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -33,17 +33,28 @@
 
 func newDirectLeg(t *try, c *conn) *directLeg {
 	l := &directLeg{t: t, c: c}
-	l.stop = context.AfterFunc(t.ctx, c.close)
+	l.stop = context.AfterFunc(l.watched(), c.closeFunc)
 	return l
 }
 
+// watched is the context whose end closes the connection. The deadline of the
+// exchange is set on the connection instead.
+func (l *directLeg) watched() context.Context {
+	if c, ok := l.t.ctx.(*deadlineContext); ok {
+		return c.parent
+	}
+	return l.t.ctx
+}
+
 func (l *directLeg) wrote() bool { return l.c.wrote }
 
 func (l *directLeg) abort() { l.c.close() }
 
 func (l *directLeg) send() error {
 	x := l.t.x
-	l.c.begin()
+	if err := l.c.begin(x.ctx.deadline); err != nil {
+		return err
+	}
 	if err := writeHead(l.c.bw, x, x.remaining(l.t.p.Clock.Now())); err != nil {
 		return err
 	}
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -14,13 +13,14 @@
 
 // exchange is one request of a caller, or of another entry host, on its way.
 type exchange struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	w      http.ResponseWriter
-	r      *http.Request
-	table  *compiled
-	route  *cove.Route
-	state  *routeState
+	// ctx is own, or its detached form once a keyed request runs.
+	ctx   *deadlineContext
+	own   deadlineContext
+	w     http.ResponseWriter
+	r     *http.Request
+	table *compiled
+	route *cove.Route
+	state *routeState
 	// started is when the request arrived.
 	started  time.Time
 	deadline time.Time
@@ -62,8 +62,8 @@
 func (p *Proxy) end(x *exchange) {
 	p.keyed.free(x.held)
 	x.body.release()
-	if x.cancel != nil {
-		x.cancel()
+	if x.ctx != nil {
+		x.ctx.end()
 	}
 	if x.state != nil {
 		x.state.active.Add(-1)
@@ -90,6 +90,12 @@
 	return &c
 }
 
+// bound gives the exchange its deadline.
+func (x *exchange) bound(left time.Duration) {
+	x.own.begin(x.r.Context(), left)
+	x.ctx = &x.own
+}
+
 // remaining returns the time until the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration {
 	return x.deadline.Sub(now)
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -128,7 +127,7 @@
 func (p *Proxy) beginHop(x *exchange, left time.Duration, block uint64) {
 	h := x.r.Header
 	x.deadline = x.started.Add(left)
-	x.ctx, x.cancel = context.WithTimeout(x.r.Context(), left)
+	x.bound(left)
 	x.work = p.workClass(x, cove.Team(h.Get(hopTeam)))
 	x.work.Origin = cove.Region(h.Get(hopOrigin))
 	x.work.Block = block
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -209,7 +208,7 @@
 // prepare sets the deadline and the class of the work.
 func (p *Proxy) prepare(x *exchange, from *caller) {
 	left := x.remaining(p.Clock.Now())
-	x.ctx, x.cancel = context.WithTimeout(x.r.Context(), left)
+	x.bound(left)
 	if x.r.ContentLength != 0 {
 		// Bounds callers that send their body slowly.
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(left))
