Guard callers over TLS too

net/http recognises HTTP/2 by the type of the connection, so handshakes are completed in the listener: HTTP/1 connections get the guard, HTTP/2 ones are passed on as they are.

--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -120,18 +120,24 @@
 	node string
 	// block is a stable hash of the client block.
 	block uint64
+	// proto is the scheme that the caller uses.
+	proto string
 }
 
 type callerKey struct{}
 
 // newCaller reads the address of a connection.
-func newCaller(remote string) *caller {
+func newCaller(remote string, tls bool) *caller {
+	proto := "http"
+	if tls {
+		proto = "https"
+	}
 	ap, err := netip.ParseAddrPort(remote)
 	if err != nil {
-		return &caller{text: "unknown", node: "unknown"}
+		return &caller{text: "unknown", node: "unknown", proto: proto}
 	}
 	addr := ap.Addr().Unmap().WithZone("")
-	c := &caller{addr: addr, text: addr.String(), block: blockOf(addr)}
+	c := &caller{addr: addr, text: addr.String(), block: blockOf(addr), proto: proto}
 	c.node = c.text
 	if addr.Is6() {
 		c.node = `"[` + c.text + `]"`
@@ -145,7 +151,7 @@
 	if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
 		return c
 	}
-	return newCaller(r.RemoteAddr)
+	return newCaller(r.RemoteAddr, r.TLS != nil)
 }
 
 // Lengths of the prefixes that stand for a client block.
--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -224,6 +224,8 @@
 type guardedConn struct {
 	net.Conn
 	guard guard
+	// tls tells that Conn is over TLS.
+	tls bool
 	// pending is passed on before the connection ends.
 	pending []byte
 }
--- a/internal/route/proxy/header.go
+++ b/internal/route/proxy/header.go
@@ -103,16 +103,12 @@
 
 // forwardedFields returns what the backend server learns of the caller. It
 // holds nothing that the caller claimed.
-func forwardedFields(dst []field, c *caller, host string, tls bool) []field {
-	proto := "http"
-	if tls {
-		proto = "https"
-	}
+func forwardedFields(dst []field, c *caller, host string) []field {
 	return append(dst,
 		field{name: "X-Forwarded-For", value: c.text},
-		field{name: "X-Forwarded-Proto", value: proto},
+		field{name: "X-Forwarded-Proto", value: c.proto},
 		field{name: "X-Forwarded-Host", value: host},
-		field{name: "Forwarded", value: "for=" + c.node + ";proto=" + proto + ";host=\"" + host + "\""})
+		field{name: "Forwarded", value: "for=" + c.node + ";proto=" + c.proto + ";host=\"" + host + "\""})
 }
 
 // requestIDs returns the id that the caller gets back and the one that backend
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -22,20 +22,15 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	var tlsConfig = p.cfg.TLS
-	if tlsConfig != nil {
-		tlsConfig = tlsConfig.Clone()
-	}
 	return &http.Server{
 		Handler:           p,
-		TLSConfig:         tlsConfig,
 		Protocols:         &protocols,
 		ReadHeaderTimeout: p.cfg.HeaderTimeout,
 		IdleTimeout:       p.cfg.IdleTimeout,
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    headerSlack * p.cfg.MaxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, callerKey{}, newCaller(c.RemoteAddr().String()))
+			return context.WithValue(ctx, callerKey{}, newCaller(c.RemoteAddr().String(), overTLS(c)))
 		},
 		// OPTIONS * is refused like every target that is no path.
 		DisableGeneralOptionsHandler: true,
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -112,12 +112,12 @@
 	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), plain: p.cfg.TLS == nil, full: func() {
 		p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1)
 	}}
-	var err error
 	if p.cfg.TLS != nil {
-		err = p.server.ServeTLS(bounded, "", "")
+		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks)
 	} else {
-		err = p.server.Serve(bounded)
+		ln = bounded
 	}
+	err := p.server.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -200,7 +200,7 @@
 	x.method, x.uri, x.host = x.r.Method, uri, x.r.Host
 	x.fields = make([]field, 0, len(x.r.Header)+ownFields)
 	x.fields = x.scrub.fields(forwardable(x.fields, x.r.Header))
-	x.fields = forwardedFields(x.fields, from, x.host, x.r.TLS != nil)
+	x.fields = forwardedFields(x.fields, from, x.host)
 	x.fields = traceFields(x.fields, x.r.Header)
 	return nil
 }
--- a/internal/route/proxy/shape_test.go
+++ b/internal/route/proxy/shape_test.go
@@ -209,7 +209,7 @@
 		fields := s.fields(forwardable(nil, h))
 		fields = traceFields(fields, h)
 		if validHost(hostName) {
-			fields = forwardedFields(fields, newCaller("[::1]:7"), hostName, true)
+			fields = forwardedFields(fields, newCaller("[::1]:7", true), hostName)
 		}
 		_, upstream := requestIDs(h)
 		fields = append(fields, field{name: "Id", value: upstream})
--- a/internal/route/proxy/stream_test.go
+++ b/internal/route/proxy/stream_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -228,3 +230,34 @@
 		}
 	}
 }
+
+// Guards against TLS callers without HTTP/2, without the guard against
+// smuggling, or reported to backend servers as plain.
+func TestTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	backend := &seen{}
+	_, targets := newServers(t, 1, server.Config{Run: backend})
+	h := newHost(t, "a", nil, Config{TLS: &tls.Config{Certificates: certified.TLS.Certificates}}, targets...)
+	url := "https://" + h.Addr().String() + "/open"
+	plain := certified.Client().Transport.(*http.Transport)
+	second := plain.Clone()
+	second.ForceAttemptHTTP2 = true
+	for want, tr := range map[string]*http.Transport{"HTTP/1.1": plain, "HTTP/2.0": second} {
+		resp, err := (&http.Client{Transport: tr}).Get(url)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.Proto != want || resp.StatusCode != 200 || backend.header.Get("X-Forwarded-Proto") != "https" {
+			t.Errorf("%s %s, backend server got %v", resp.Proto, resp.Status, backend.header)
+		}
+		tr.CloseIdleConnections()
+	}
+	c := tls.Client(dialRaw(t, h), &tls.Config{InsecureSkipVerify: true})
+	_, _ = io.WriteString(c, "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusBadRequest || backend.reached() != "2" {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
--- /dev/null
+++ b/internal/route/proxy/tls.go
@@ -0,0 +1,121 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/group"
+)
+
+// protoHTTP2 is the name of HTTP/2 in the TLS handshake.
+const protoHTTP2 = "h2"
+
+// acceptRetry is the pause after a failed accept.
+const acceptRetry = 10 * time.Millisecond
+
+// tlsListener completes handshakes before net/http gets the connections, so
+// that those with HTTP/1 can be guarded. Those with HTTP/2 are passed on as
+// they are, because net/http recognises them by their type.
+type tlsListener struct {
+	net.Listener
+	cfg     *tls.Config
+	timeout time.Duration
+	tasks   *group.Group
+	ready   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func newTLSListener(ln net.Listener, cfg *tls.Config, timeout time.Duration, tasks *group.Group) *tlsListener {
+	cfg = cfg.Clone()
+	if len(cfg.NextProtos) == 0 {
+		cfg.NextProtos = []string{protoHTTP2, "http/1.1"}
+	}
+	l := &tlsListener{
+		Listener: ln,
+		cfg:      cfg,
+		timeout:  timeout,
+		tasks:    tasks,
+		ready:    make(chan net.Conn),
+		done:     make(chan struct{}),
+	}
+	tasks.Go(l.run)
+	return l
+}
+
+// run accepts connections until the listener is closed. The handshakes run
+// beside each other; the bound on connections bounds them too.
+func (l *tlsListener) run(ctx context.Context) error {
+	defer l.end()
+	for {
+		c, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Such as too many open files, which passes.
+			if serr := (clock.System{}).Sleep(ctx, acceptRetry); serr != nil {
+				return nil
+			}
+			continue
+		}
+		l.tasks.Go(func(ctx context.Context) error {
+			l.handshake(ctx, c)
+			return nil
+		})
+	}
+}
+
+func (l *tlsListener) handshake(ctx context.Context, c net.Conn) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	conn := tls.Server(c, l.cfg)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return
+	}
+	var out net.Conn = conn
+	if conn.ConnectionState().NegotiatedProtocol != protoHTTP2 {
+		out = &guardedConn{Conn: conn, tls: true}
+	}
+	select {
+	case l.ready <- out:
+	case <-l.done:
+		_ = conn.Close()
+	}
+}
+
+func (l *tlsListener) end() {
+	l.once.Do(func() { close(l.done) })
+}
+
+// Accept implements net.Listener.
+func (l *tlsListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.ready:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *tlsListener) Close() error {
+	l.end()
+	return l.Listener.Close()
+}
+
+// overTLS reports whether net/http serves a connection that came over TLS.
+func overTLS(c net.Conn) bool {
+	if g, ok := c.(*guardedConn); ok {
+		return g.tls
+	}
+	_, ok := c.(*tls.Conn)
+	return ok
+}
