--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -262,9 +262,14 @@
 		t.giveUp(cove.Result{Canceled: true})
 		return &failure{refusal: unknown(errBodyRead.Status, errBodyRead.Reason, errBodyRead.Detail)}
 	}
-	if t.lost.Load() || errors.Is(t.ctx.Err(), context.Canceled) {
+	if t.lost.Load() {
+		silent := t.p.Clock.Now().Sub(t.begun) >= silence(t.x.state)
+		t.giveUp(cove.Result{Canceled: !silent, Silent: silent})
+		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerSilent, "another attempt was faster")}
+	}
+	if errors.Is(t.ctx.Err(), context.Canceled) {
 		t.giveUp(cove.Result{Canceled: true})
-		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerFailed, "canceled")}
+		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerFailed, "caller has gone")}
 	}
 	if t.ctx.Err() != nil {
 		t.giveUp(cove.Result{Silent: true, Err: err})
--- a/internal/route/proxy/fakes_test.go
+++ b/internal/route/proxy/fakes_test.go
@@ -53,6 +53,7 @@
 	// before runs while a request waits for its permit.
 	before func()
 	open   atomic.Int64
+	silent atomic.Int64
 }
 
 func (f *fakeAdmitter) Admit(ctx context.Context, _ []cove.PoolWeight, w cove.WorkClass, ex cove.Exclude) (cove.Permit, error) {
@@ -81,7 +82,10 @@
 
 func (p *fakePermit) Target() cove.Target { return p.t }
 func (p *fakePermit) Sent()               {}
-func (p *fakePermit) Done(cove.Result) {
+func (p *fakePermit) Done(res cove.Result) {
+	if res.Silent {
+		p.f.silent.Add(1)
+	}
 	if !p.once.CompareAndSwap(false, true) {
 		panic("permit was ended twice")
 	}
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -21,14 +21,20 @@
 	if !x.idempotent() || x.tries >= x.maxAttempts() || x.body.stream != nil {
 		return 0, ""
 	}
-	p95, known := x.state.latency.P95()
-	if !known {
-		return maxSilence, cove.RetrySilent
-	}
-	if x.route.Retry.Hedge {
+	if p95, known := x.state.latency.P95(); known && x.route.Retry.Hedge {
 		return min(p95, maxSilence), cove.RetryHedge
 	}
-	return min(max(silenceFactor*p95, minSilence), maxSilence), cove.RetrySilent
+	return silence(x.state), cove.RetrySilent
+}
+
+// silence returns how long a connection may stay without a byte before it
+// counts as silent.
+func silence(st *routeState) time.Duration {
+	p95, known := st.latency.P95()
+	if !known {
+		return maxSilence
+	}
+	return min(max(silenceFactor*p95, minSilence), maxSilence)
 }
 
 // finished is the end of one of two racing attempts.
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -110,6 +111,32 @@
 	}
 }
 
+// Guards against headers of answers without a body that are lost or break the
+// connection, directly and across a hop.
+func TestAnswersWithoutBody(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{Run: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", `"v1"`)
+		status, _ := strconv.Atoi(r.URL.Query().Get("s"))
+		if r.Method == http.MethodHead {
+			w.Header().Set("Content-Length", "12345")
+		}
+		w.WriteHeader(status)
+	})})
+	fleet := newFakeFleet()
+	newHost(t, "b", fleet, Config{}, targets...)
+	for _, target := range []cove.Target{targets[0], {Host: "b", Pool: "main", Domain: "se-west-1"}} {
+		h := newHost(t, "a", fleet, Config{}, target)
+		for _, c := range []struct {
+			method, status, length string
+		}{{"HEAD", "200", "12345"}, {"GET", "204", ""}, {"GET", "304", ""}, {"GET", "200", "0"}} {
+			r := call(t, h, c.method, "/status?s="+c.status, "")
+			if fmt.Sprint(r.StatusCode) != c.status || r.Header.Get("Content-Length") != c.length || r.Header.Get("ETag") == "" {
+				t.Errorf("%s %s by %q: %s %v", c.method, c.status, target.Host, r.Status, r.Header)
+			}
+		}
+	}
+}
+
 // Guards against a peer port that serves callers, and against forged routes
 // and teams (B9).
 func TestPeerPathsRefuseCallers(t *testing.T) {
@@ -217,6 +244,7 @@
 	if d := time.Since(begin); d > 2*time.Second || h.meter.Count("retry.silent") != 1 {
 		t.Errorf("answer after %v, %v", d, h.meter.Counts())
 	}
+	waitFor(t, "the silence to be reported", func() bool { return h.admit.silent.Load() == 1 })
 	for _, s := range servers {
 		s.SetFaults(server.Faults{Broken: 1})
 	}
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -19,13 +19,23 @@
 // ownPrefix starts the paths that the entry host answers itself.
 const ownPrefix = "/.cove/"
 
+// retryElsewhere is when a caller may come back after this host could not serve
+// it; another host can be asked at once.
+const retryElsewhere = time.Second
+
 // Shared refusals of this host's state.
 var (
-	errNoTable  = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoTable, "no table yet")
-	errStopping = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host is stopping")
-	errBusy     = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonHostLimit, "too many requests on this host")
+	errNoTable  = refuseHost(cove.ReasonNoTable, "no table yet")
+	errStopping = refuseHost(cove.ReasonStopping, "host is stopping")
+	errBusy     = refuseHost(cove.ReasonHostLimit, "too many requests on this host")
 )
 
+func refuseHost(reason cove.Reason, detail string) *cove.Refusal {
+	r := cove.Refuse(http.StatusServiceUnavailable, reason, detail)
+	r.RetryAfter = retryElsewhere
+	return r
+}
+
 // ServeHTTP implements http.Handler for callers.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer p.active.Add(-1)
@@ -211,7 +221,10 @@
 	x.bound(left)
 	if x.r.ContentLength != 0 {
 		// Bounds callers that send their body slowly.
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(left))
+		_ = http.NewResponseController(x.w).SetReadDeadline(x.own.deadline)
+	}
+	if left > writeTimeout/2 {
+		_ = http.NewResponseController(x.w).SetWriteDeadline(x.own.deadline.Add(writeTimeout))
 	}
 	x.work = p.workClass(x, x.principal.Team)
 	x.work.Block = from.block
--- a/internal/route/proxy/shape.go
+++ b/internal/route/proxy/shape.go
@@ -12,8 +12,10 @@
 
 // Shared refusals of malformed requests.
 var (
-	errTarget  = cove.Refuse(http.StatusBadRequest, cove.ReasonBadRequest, "request target is not a plain path")
-	errPath    = cove.Refuse(http.StatusBadRequest, cove.ReasonBadRequest, "path has dot segments, empty segments or odd bytes")
+	errTarget = cove.Refuse(http.StatusBadRequest, cove.ReasonBadRequest, "request target is not a plain path")
+	errPath   = cove.Refuse(http.StatusBadRequest, cove.ReasonBadRequest, "path has dot segments, empty segments or odd bytes")
+	// A caller with HTTP/1.0 cannot tell a broken answer from a complete one.
+	errVersion = cove.Refuse(http.StatusHTTPVersionNotSupported, cove.ReasonBadRequest, "HTTP/1.1 or HTTP/2 is needed")
 	errConnect = cove.Refuse(http.StatusBadRequest, cove.ReasonBadRequest, "method not supported by this system")
 	errHost    = cove.Refuse(http.StatusBadRequest, cove.ReasonBadRequest, "invalid host")
 	errFraming = cove.Refuse(http.StatusBadRequest, cove.ReasonBadRequest, "conflicting or unsupported message framing")
@@ -29,6 +31,9 @@
 	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
 		return errConnect
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		return errVersion
+	}
 	if r.Header[headerViolation] != nil {
 		return errFraming
 	}
