--- a/internal/route/health/probe.go
+++ b/internal/route/health/probe.go
@@ -6,89 +6,68 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"time"
-
-	"github.com/pkg/errors"
 )
 
-const (
-	// probeTimeout is below the interval of the polls, so that a silent endpoint
-	// does not delay the next poll.
-	probeTimeout = time.Second
-	// probeBytes bounds what is read of an answer.
-	probeBytes = 16 << 10
-	// probeIdle keeps connections between polls.
-	probeIdle = 30 * time.Second
-)
+// maxReportBytes bounds the answer of a health or load endpoint.
+const maxReportBytes = 4 << 10
 
-// HTTPProber asks backend servers over HTTP/1.1. The zero value is ready to use.
-//
-// The health endpoint answers 200 for healthy, with {"draining":true} when the
-// server is leaving. The load endpoint answers {"load":0.4}, the part of the
-// capacity in use. A path that is empty is not asked.
+// HTTPProber polls backend servers over HTTP. The health endpoint answers 200
+// when the server is well. Both endpoints may answer a JSON object with the
+// members load (0 to 1, above when work is queued) and draining.
 type HTTPProber struct {
-	// Client defaults to one with its own connections.
 	Client *http.Client
 }
 
 var _ Prober = (*HTTPProber)(nil)
 
-var probeClient = &http.Client{
-	Transport: &http.Transport{IdleConnTimeout: probeIdle, MaxIdleConnsPerHost: 1},
+// answer is the JSON object of an endpoint.
+type answer struct {
+	Load     *float64 `json:"load"`
+	Draining bool     `json:"draining"`
 }
 
-// Probe implements Prober. An endpoint without an answer makes the report bad.
+// Probe implements Prober.
 func (p *HTTPProber) Probe(ctx context.Context, addr netip.AddrPort, healthPath, loadPath string) Report {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	var r Report
 	if healthPath != "" {
-		var h struct {
-			Draining bool `json:"draining"`
-		}
-		err := p.get(ctx, addr, healthPath, &h)
-		r.Bad = err != nil
-		r.Draining = h.Draining
+		ok := p.get(ctx, addr, healthPath, &r)
+		r.Bad = !ok && !r.Draining
 	}
-	if loadPath != "" {
-		var l struct {
-			Load float64 `json:"load"`
-		}
-		if err := p.get(ctx, addr, loadPath, &l); err != nil {
-			r.Bad = true
-		}
-		r.Load = max(0, l.Load)
+	if loadPath != "" && loadPath != healthPath && !p.get(ctx, addr, loadPath, &r) && healthPath == "" {
+		r.Bad = true
 	}
 	return r
 }
 
-// get reads the JSON answer of an endpoint. An answer that is not JSON counts by
-// its status alone, because a health endpoint may answer plain text.
-func (p *HTTPProber) get(ctx context.Context, addr netip.AddrPort, path string, v any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, nil)
+// get adds what one endpoint says to the report. It reports whether the
+// endpoint answered with success.
+func (p *HTTPProber) get(ctx context.Context, addr netip.AddrPort, path string, r *Report) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, http.NoBody)
 	if err != nil {
-		return errors.Wrap(err, "probe")
+		return false
 	}
-	resp, err := p.client().Do(req)
+	res, err := p.client().Do(req)
 	if err != nil {
-		return errors.Wrap(err, "probe")
+		return false
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, probeBytes))
-	if err != nil {
-		return errors.Wrap(err, "probe")
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReportBytes))
+	if closeErr := res.Body.Close(); err != nil || closeErr != nil {
+		return false
 	}
-	// The value stays at its default if the body is no JSON.
-	_ = json.Unmarshal(body, v)
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("probe: %s", resp.Status)
+	var a answer
+	// An endpoint without JSON says nothing but its status.
+	if json.Unmarshal(body, &a) == nil {
+		r.Draining = r.Draining || a.Draining
+		if a.Load != nil {
+			r.Load = max(0, *a.Load)
+		}
 	}
-	return nil
+	return res.StatusCode < http.StatusMultipleChoices
 }
 
 func (p *HTTPProber) client() *http.Client {
-	if p.Client != nil {
-		return p.Client
+	if p.Client == nil {
+		return http.DefaultClient
 	}
-	return probeClient
+	return p.Client
 }
