Add stateful tests of the fleet-wide rate

Cause: the bound must hold under every fault, and the oracle must see an excess of parts that no test load happens to use.

--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -58,6 +58,7 @@
 	s       *Service
 	now     time.Time
 	byHost  map[cove.HostID]*call
+	list    []*call
 	lenders map[cove.HostID]bool
 }
 
@@ -74,11 +75,7 @@
 	for _, t := range teams {
 		c.ask(t)
 	}
-	out := make([]*call, 0, len(c.byHost))
-	for _, x := range c.byHost {
-		out = append(out, x)
-	}
-	return out
+	return c.list
 }
 
 // to returns the request to a host, or nil when the budget is used up.
@@ -99,6 +96,7 @@
 		c.byHost = make(map[cove.HostID]*call)
 	}
 	c.byHost[id] = x
+	c.list = append(c.list, x)
 	return x
 }
 
--- /dev/null
+++ b/internal/limit/share/refuse_test.go
@@ -0,0 +1,114 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+// caller sends requests at a steady rate and, as Take does, lets each wait for
+// a short time.
+type caller struct {
+	m       *sim
+	pick    func(n int) *simHost
+	every   time.Duration
+	next    time.Time
+	n       int
+	queue   []queued
+	sent    int
+	refused int
+}
+
+type queued struct {
+	h  *simHost
+	at time.Time
+}
+
+func (c *caller) step() {
+	now := c.m.clock.Now()
+	for !c.next.After(now) {
+		c.queue = append(c.queue, queued{c.pick(c.n), now})
+		c.n++
+		c.next = c.next.Add(c.every)
+	}
+	kept := c.queue[:0]
+	for _, q := range c.queue {
+		switch {
+		case q.h.take(1):
+			c.sent++
+		case now.Sub(q.at) < maxWait:
+			kept = append(kept, q)
+		default:
+			c.sent++
+			c.refused++
+		}
+	}
+	c.queue = kept
+}
+
+func (c *caller) share() float64 { return float64(c.refused) / float64(max(1, c.sent)) }
+
+// start boots 8 hosts and returns a caller at 90% of the rate.
+func startCaller(t *testing.T, domains int) (*sim, *caller) {
+	t.Helper()
+	m := newSim(7, 8, domains, cove.TeamRow{Name: "team", Rate: 1000, Burst: 1000})
+	for _, h := range m.hosts {
+		h.boot()
+	}
+	m.run(20*time.Second, nil)
+	c := &caller{m: m, every: time.Second * 10 / 9000, next: m.clock.Now()}
+	c.pick = func(int) *simHost { return m.hosts[3] }
+	return m, c
+}
+
+func (c *caller) check(t *testing.T, what string, bound float64) {
+	t.Helper()
+	t.Logf("%s: %d of %d refused (%.4f%%)", what, c.refused, c.sent, 100*c.share())
+	if c.m.oracle.failed != nil {
+		t.Error(c.m.oracle.failed)
+	}
+	if c.share() > bound {
+		t.Errorf("%s: refused %.4f%%, bound %.2f%%", what, 100*c.share(), 100*bound)
+	}
+}
+
+// Guards against B1: wrongly refused requests with all of a team's traffic at
+// one host, and shares that follow demand too slowly.
+func TestRefusedOneHost(t *testing.T) {
+	for _, domains := range []int{1, 4, 8} {
+		m, c := startCaller(t, domains)
+		m.run(60*time.Second, c.step)
+		c.check(t, "all traffic at one host", 0.001)
+		c.pick = func(int) *simHost { return m.hosts[6] }
+		m.run(60*time.Second, c.step)
+		c.check(t, "traffic moved to another host", 0.001)
+	}
+}
+
+// Guards against B1 after the crash of a host.
+func TestRefusedAfterCrash(t *testing.T) {
+	for _, domains := range []int{1, 2} {
+		m, c := startCaller(t, domains)
+		live := m.hosts
+		c.pick = func(n int) *simHost { return live[n%len(live)] }
+		m.run(20*time.Second, c.step)
+		c.sent, c.refused = 0, 0
+		m.hosts[0].crash()
+		live = m.hosts[1:]
+		m.run(30*time.Second, c.step)
+		c.check(t, "after a crash", 0.01)
+	}
+}
+
+// Guards against B1 through a store outage in which all of the traffic moves to
+// another host every 10 s, and against hosts that lose their parts in it.
+func TestRefusedInOutage(t *testing.T) {
+	for _, domains := range []int{2, 4} {
+		m, c := startCaller(t, domains)
+		c.pick = func(n int) *simHost { return m.hosts[(n/9000)%len(m.hosts)] }
+		m.store.down = true
+		m.run(10*time.Minute, c.step)
+		c.check(t, "store outage", 0.005)
+	}
+}
--- a/internal/limit/share/service.go
+++ b/internal/limit/share/service.go
@@ -64,24 +64,24 @@
 	observed   map[owner]observation
 	// taking is set while a transaction that takes a leased part may take
 	// effect; the host promises nothing then.
-	taking     bool
-	open       *openCommit
-	token      uint64
+	taking bool
+	open   *openCommit
+	token  uint64
 	// settled is the fraction that share/domains was last seen to hold.
 	settled int64
 	// resumed is when the last long pause of the process was noticed.
 	resumed time.Time
 	// stored is when the store last answered.
-	stored     time.Time
-	renewDue   time.Time
-	writeDue   time.Time
-	order      askOrder
-	loanSeq    uint64
-	lenders    map[cove.HostID]int
-	budget     rate.Bucket
-	foreign    map[cove.Domain]*foreignRow
-	pollDue    time.Time
-	watchers   []func()
+	stored   time.Time
+	renewDue time.Time
+	writeDue time.Time
+	order    askOrder
+	loanSeq  uint64
+	lenders  map[cove.HostID]int
+	budget   rate.Bucket
+	foreign  map[cove.Domain]*foreignRow
+	pollDue  time.Time
+	watchers []func()
 	// dirty is set when the watchers have to be told of a change.
 	dirty bool
 }
--- /dev/null
+++ b/internal/limit/share/sim_test.go
@@ -0,0 +1,513 @@
+package share
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"net/netip"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/meter"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+const simStep = 5 * time.Millisecond
+
+// sim runs services on a manual clock, without goroutines.
+type sim struct {
+	clock  clock.Manual
+	start  time.Time
+	rnd    *rand.Rand
+	store  *memStore
+	hosts  []*simHost
+	table  *cove.Table
+	cut    map[[2]int]bool
+	late   bool // answers may come after their timeout, and twice
+	mail   []mail
+	sent   int
+	bytes  int
+	steps  int
+	oracle oracle
+	// fast is the error of the fastest clock; its host earns that much more.
+	fast float64
+	// broken damages the hosts of a test that checks the oracle.
+	broken func(*simHost)
+	// flight is the number of tokens in messages.
+	flight float64
+}
+
+type mail struct {
+	at  time.Time
+	run func()
+}
+
+type simHost struct {
+	sim      *sim
+	n        int
+	self     cove.Self
+	skew     int // clock error in 1/1000
+	s        *Service
+	m        *meter.Meter
+	table    *cove.Table
+	watch    func(*cove.Table)
+	pausedTo time.Time
+	stepped  time.Time
+}
+
+// skewed is a clock that runs fast or slow.
+type skewed struct{ h *simHost }
+
+func (c skewed) Now() time.Time {
+	d := c.h.sim.clock.Now().Sub(c.h.sim.start)
+	return c.h.sim.start.Add(d + d/1000*time.Duration(c.h.skew))
+}
+func (c skewed) NewTimer(d time.Duration) cove.Timer { return c.h.sim.clock.NewTimer(d) }
+func (c skewed) Sleep(ctx context.Context, d time.Duration) error {
+	return c.h.sim.clock.Sleep(ctx, d)
+}
+
+type (
+	simPeers  struct{}
+	simTables struct{ h *simHost }
+	simEvents struct{}
+	simFleet  struct{ h *simHost }
+)
+
+func (simPeers) Client(cove.HostID) (*http.Client, string, error) {
+	return nil, "", errors.New("unused")
+}
+func (simPeers) Handle(string, http.Handler)        {}
+func (simEvents) Emit(_, _ string, _ ...cove.Field) {}
+func (t simTables) Current() *cove.Table            { return t.h.table }
+func (t simTables) Watch(fn func(*cove.Table)) {
+	t.h.watch = fn
+	fn(t.h.table)
+}
+func (f simFleet) Watch(func([]cove.Member)) {}
+func (f simFleet) Snapshot() []cove.Member {
+	var out []cove.Member
+	for _, o := range f.h.sim.hosts {
+		if o == f.h || o.s == nil || f.h.sim.isCut(o.n, f.h.n) {
+			continue
+		}
+		out = append(out, cove.Member{ID: o.self.ID, Domain: o.self.Domain, Region: o.self.Region, State: cove.HostLive})
+	}
+	return out
+}
+
+// newSim places hosts round robin in domains.
+func newSim(seed int64, hosts, domains int, limit cove.TeamRow) *sim {
+	m := &sim{rnd: rand.New(rand.NewSource(seed)), cut: make(map[[2]int]bool)}
+	m.start = m.clock.Now()
+	m.store = &memStore{rows: make(map[string]cove.Row)}
+	m.table = &cove.Table{Version: 1, Teams: []cove.TeamRow{limit}}
+	for d := range domains {
+		m.table.Domains = append(m.table.Domains, cove.DomainRow{Name: domainName(d)})
+	}
+	for n := range hosts {
+		h := &simHost{sim: m, n: n, table: m.table}
+		h.self = cove.Self{ID: cove.HostID(fmt.Sprintf("host-%02d", n)), Domain: domainName(n % domains)}
+		m.hosts = append(m.hosts, h)
+	}
+	m.oracle.limits = m.limits
+	return m
+}
+
+func domainName(d int) cove.Domain { return cove.Domain(fmt.Sprintf("domain-%02d", d)) }
+
+func (h *simHost) boot() {
+	if h.s != nil {
+		return
+	}
+	for i := range h.self.Incarnation {
+		h.self.Incarnation[i] = byte(h.sim.rnd.Intn(256))
+	}
+	h.m = new(meter.Meter)
+	h.s = New(Config{
+		Self: h.self, Peer: netip.MustParseAddrPort("192.0.2.1:7000"), Clock: skewed{h},
+		Store: hostStore{h}, Tables: simTables{h}, Members: simFleet{h}, Peers: simPeers{},
+		Counters: h.m, Events: simEvents{},
+	})
+	h.s.dial = func(id cove.HostID) (peerpb.ShareServiceClient, error) { return simClient{h, id}, nil }
+	h.pausedTo = time.Time{}
+	h.s.begin()
+	h.s.storeStep(context.Background())
+}
+
+func (h *simHost) crash() { h.s = nil }
+
+func (h *simHost) runs() bool { return h.s != nil && !h.sim.clock.Now().Before(h.pausedTo) }
+
+func (m *sim) isCut(a, b int) bool {
+	return m.cut[[2]int{min(a, b), max(a, b)}]
+}
+
+func (m *sim) host(id cove.HostID) *simHost {
+	for _, h := range m.hosts {
+		if h.self.ID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// simClient delivers renewals at once; loans go through the mail.
+type simClient struct {
+	from *simHost
+	to   cove.HostID
+}
+
+var errLost = errors.New("lost")
+
+func (c simClient) Renew(ctx context.Context, req *peerpb.ShareRenewRequest) (*peerpb.ShareRenewResponse, error) {
+	m, to := c.from.sim, c.from.sim.host(c.to)
+	if to == nil || !to.runs() || m.isCut(to.n, c.from.n) {
+		return nil, errLost
+	}
+	resp, err := to.s.Renew(cove.WithPeer(ctx, c.from.self.ID), req)
+	if m.late && m.rnd.Intn(8) == 0 {
+		return nil, errLost
+	}
+	return resp, err
+}
+
+func (c simClient) Borrow(context.Context, *peerpb.ShareBorrowRequest) (*peerpb.ShareBorrowResponse, error) {
+	return nil, errLost
+}
+
+func (m *sim) post(d time.Duration, run func()) {
+	m.mail = append(m.mail, mail{m.clock.Now().Add(d), run})
+}
+
+// send carries a call to its lender and the answer back, with delay.
+func (h *simHost) send(c *call) {
+	m, s := h.sim, h.s
+	to := m.host(c.to)
+	m.sent++
+	delay := 3 * time.Millisecond
+	if to.self.Domain != h.self.Domain {
+		delay = 35 * time.Millisecond
+	}
+	back := delay
+	copies := 1
+	m.flight += tokensOf(c.req.GetGives(), nil)
+	if m.late {
+		delay *= time.Duration(1 + m.rnd.Intn(4))
+		back *= time.Duration(1 + m.rnd.Intn(4))
+		if m.rnd.Intn(8) == 0 {
+			back += time.Duration(m.rnd.Intn(3000)) * time.Millisecond
+		}
+		copies += m.rnd.Intn(6) / 5
+	} else {
+		m.post(callTime, func() { s.finishCall(c, nil) })
+	}
+	for n := range copies {
+		m.post(delay, func() {
+			if n == 0 {
+				m.flight -= tokensOf(c.req.GetGives(), nil)
+			}
+			if !to.runs() || m.isCut(h.n, to.n) {
+				return
+			}
+			resp, err := to.s.Borrow(cove.WithPeer(context.Background(), h.self.ID), c.req)
+			if err != nil || m.late && m.rnd.Intn(8) == 0 {
+				return
+			}
+			m.flight += tokensOf(resp.GetGives(), resp.GetGrants())
+			for n := range copies {
+				m.post(back*time.Duration(1+n*7), func() {
+					h.whenRunning(func() {
+						if n == 0 {
+							m.flight -= tokensOf(resp.GetGives(), resp.GetGrants())
+						}
+						if h.s == s && !m.isCut(h.n, to.n) {
+							s.finishCall(c, resp)
+						}
+					})
+				})
+			}
+		})
+	}
+}
+
+func tokensOf(gives []*peerpb.ShareGive, grants []*peerpb.ShareGrant) float64 {
+	var n int64
+	for _, g := range gives {
+		n += g.GetTokens()
+	}
+	for _, g := range grants {
+		n += g.GetTokens()
+	}
+	return float64(n) / 1e6
+}
+
+// whenRunning delays an answer until the process runs again.
+func (h *simHost) whenRunning(fn func()) {
+	if h.runs() {
+		fn()
+		return
+	}
+	h.sim.post(h.pausedTo.Sub(h.sim.clock.Now()), fn)
+}
+
+func (m *sim) deliver() {
+	now := m.clock.Now()
+	due := m.mail[:0:0]
+	kept := m.mail[:0:0]
+	for _, x := range m.mail {
+		if x.at.After(now) {
+			kept = append(kept, x)
+			continue
+		}
+		due = append(due, x)
+	}
+	m.mail = kept
+	sort.SliceStable(due, func(i, j int) bool { return due[i].at.Before(due[j].at) })
+	for _, x := range due {
+		x.run()
+	}
+}
+
+// step advances the clock and runs what is due on each host.
+func (m *sim) step() {
+	m.clock.Advance(simStep)
+	m.steps++
+	m.deliver()
+	for _, h := range m.hosts {
+		if h.runs() {
+			h.step()
+		}
+	}
+	m.audit()
+}
+
+// audit gives the oracle what all hosts could use at this moment.
+func (m *sim) audit() {
+	var rate, burst, level float64
+	for _, h := range m.hosts {
+		if h.s == nil {
+			continue
+		}
+		for _, t := range *h.s.teams.Load() {
+			t.advance(h.s.cfg.Clock.Now())
+			q := t.bucket.Quota()
+			rate += q.Rate.Tokens()
+			burst += q.Burst.Tokens()
+			level += t.bucket.Level().Tokens()
+		}
+	}
+	m.oracle.audit(m.clock.Now(), rate, burst, level+m.flight)
+}
+
+func (h *simHost) step() {
+	if h.sim.steps%100 == 0 {
+		h.s.setMembers(simFleet{h}.Snapshot())
+	}
+	now := h.s.cfg.Clock.Now()
+	select {
+	case <-h.s.nudge:
+	default:
+		if now.Sub(h.stepped) < tickEvery {
+			return
+		}
+	}
+	h.stepped = now
+	h.s.tick(now)
+	if h.sim.broken != nil {
+		h.sim.broken(h)
+	}
+	for _, c := range h.s.planCalls(now) {
+		h.send(c)
+	}
+	h.s.renewStep(context.Background())
+	h.s.storeStep(context.Background())
+}
+
+// expired makes Take answer at once.
+var expired, _ = context.WithDeadline(context.Background(), time.Unix(0, 0))
+
+// take charges a request and tells the oracle.
+func (h *simHost) take(cost float64) bool {
+	if !h.runs() || h.s.Take(expired, "team", cost) != nil {
+		return false
+	}
+	h.sim.oracle.admit(h.sim.clock.Now(), cost)
+	return true
+}
+
+func (m *sim) run(d time.Duration, each func()) {
+	for end := m.clock.Now().Add(d); m.clock.Now().Before(end); {
+		m.step()
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// setTable gives one host the newest table.
+func (h *simHost) setTable() {
+	if h.table != h.sim.table && h.runs() {
+		h.table = h.sim.table
+		h.watch(h.table)
+	}
+}
+
+// limits returns the largest limits that some running host has in force.
+func (m *sim) limits() (rate, burst float64) {
+	for _, h := range m.hosts {
+		if h.s == nil {
+			continue
+		}
+		for _, t := range h.table.Teams {
+			rate, burst = max(rate, t.Rate), max(burst, t.Burst)
+		}
+	}
+	return rate * (1 + m.fast), burst
+}
+
+// oracle is one token bucket over the whole fleet. It goes below zero exactly
+// if some window admitted more than rate × window + burst.
+type oracle struct {
+	limits func() (rate, burst float64)
+	level  float64
+	at     time.Time
+	recent []limitAt
+	total  float64
+	// audited, tokens and spent are of the last audit.
+	audited time.Time
+	tokens  float64
+	spent   float64
+	failed  error
+}
+
+type limitAt struct {
+	at          time.Time
+	rate, burst float64
+}
+
+// current is the largest limit of the last loan time: loans that were made
+// under an older table end within it.
+func (o *oracle) current(now time.Time) (rate, burst float64) {
+	r, b := o.limits()
+	if n := len(o.recent); n == 0 || o.recent[n-1].rate != r || o.recent[n-1].burst != b {
+		o.recent = append(o.recent, limitAt{now, r, b})
+	}
+	for len(o.recent) > 1 && now.Sub(o.recent[1].at) > others(loanTime) {
+		o.recent = o.recent[1:]
+	}
+	for _, l := range o.recent {
+		rate, burst = max(rate, l.rate), max(burst, l.burst)
+	}
+	return rate, burst
+}
+
+// audit checks that the parts of all hosts stay within the limit, and that
+// tokens come only from the rate. Both must hold for the bound to hold under
+// the worst load that could follow.
+func (o *oracle) audit(now time.Time, rate, burst, tokens float64) {
+	r, b := o.current(now)
+	earned := r * now.Sub(o.audited).Seconds()
+	created := tokens + o.spent - o.tokens - earned
+	first := o.audited.IsZero()
+	o.audited, o.tokens, o.spent = now, tokens, 0
+	switch {
+	case o.failed != nil:
+	case rate > r+1e-6 || burst > b+1e-6:
+		o.failed = errors.Errorf("%v: parts add up to %.6f/s and burst %.6f of %v/s and %v", now, rate, burst, r, b)
+	// A bucket may hold less than a millionth of a token beside its level.
+	case !first && created > 1e-5:
+		o.failed = errors.Errorf("%v: %.6f tokens came from nowhere", now, created)
+	}
+}
+
+func (o *oracle) admit(now time.Time, cost float64) {
+	r, b := o.current(now)
+	if o.at.IsZero() {
+		o.at, o.level = now, b
+	}
+	o.level = min(b, o.level+r*now.Sub(o.at).Seconds())
+	o.at = now
+	o.level -= cost
+	o.total += cost
+	o.spent += cost
+	if o.level < -1e-6 && o.failed == nil {
+		o.failed = errors.Errorf("%v: %.6f admitted above %v/s and burst %v", now, -o.level, r, b)
+	}
+}
+
+// memStore is a table service with faults.
+type memStore struct {
+	rows    map[string]cove.Row
+	seq     uint64
+	down    bool
+	lossy   func() int // 0 none, 1 answer lost, 2 request lost, 3 applied late
+	late    []func()
+	reads   int
+	commits int
+}
+
+type hostStore struct{ h *simHost }
+
+func (s hostStore) fault() int {
+	if s.h.sim.store.lossy == nil {
+		return 0
+	}
+	return s.h.sim.store.lossy()
+}
+
+func (s hostStore) Get(_ context.Context, key string) (cove.Row, error) {
+	m := s.h.sim.store
+	if m.down || s.h.sim.isCut(-1, s.h.n) || s.fault() == 2 {
+		return cove.Row{}, cove.ErrUnavailable
+	}
+	m.reads++
+	r, ok := m.rows[key]
+	if !ok {
+		return cove.Row{}, cove.ErrNotFound
+	}
+	return r, nil
+}
+
+func (s hostStore) List(context.Context, string, string, int) ([]cove.Row, error) {
+	return nil, cove.ErrUnavailable
+}
+
+func (s hostStore) Commit(_ context.Context, token string, ws []cove.Write) error {
+	m := s.h.sim.store
+	if m.down || s.h.sim.isCut(-1, s.h.n) {
+		return cove.ErrUnavailable
+	}
+	switch s.fault() {
+	case 1:
+		_ = m.commit(token, ws)
+		return cove.ErrUnavailable
+	case 2:
+		return cove.ErrUnavailable
+	case 3:
+		s.h.sim.post(time.Duration(s.h.sim.rnd.Intn(4000))*time.Millisecond, func() { _ = m.commit(token, ws) })
+		return cove.ErrUnavailable
+	}
+	return m.commit(token, ws)
+}
+
+func (m *memStore) commit(token string, ws []cove.Write) error {
+	m.commits++
+	for _, w := range ws {
+		if m.rows[w.Key].Revision != w.IfRevision {
+			return &cove.ConflictError{Rows: []cove.Row{m.rows[w.Key]}}
+		}
+	}
+	m.seq++
+	for _, w := range ws {
+		if !w.Check {
+			m.rows[w.Key] = cove.Row{Key: w.Key, Revision: m.seq, Token: token, Value: w.Value}
+		}
+	}
+	return nil
+}
