--- a/internal/bench/trial/callers.go
+++ b/internal/bench/trial/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,12 +52,12 @@
 	}
 }
 
-// refresh asks the first host that answers. Callers keep what they have when
-// none does.
+// refresh asks the hosts that a caller uses, then any other, until one answers.
+// Callers keep what they have when none does.
 func (c *callers) refresh() {
 	for i, addr := range c.addrs {
-		for _, h := range c.rig.Hosts {
-			if list := c.lookup(h.URL(), addr); len(list) > 0 {
+		for _, base := range c.known(i) {
+			if list := c.lookup(base, addr); len(list) > 0 {
 				c.set(i, list)
 				break
 			}
@@ -64,6 +65,16 @@
 	}
 }
 
+func (c *callers) known(i int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := slices.Clone(c.hosts[i])
+	for _, h := range c.rig.Hosts {
+		known = append(known, h.URL())
+	}
+	return known
+}
+
 func (c *callers) lookup(base string, addr netip.Addr) []string {
 	resp, err := c.client.Get(base + "/.cove/lookup?addr=" + addr.String())
 	if err != nil {
