--- /dev/null
+++ b/internal/limit/once/entry.go
@@ -0,0 +1,96 @@
+package once
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+// state is the state of a key in the memory of its owner.
+type state uint8
+
+const (
+	// claiming: the claim is queued or under way.
+	claiming state = iota
+	running
+	// ended: the request ran; the answer may have been dropped.
+	ended
+	// unknown: the request may have run.
+	unknown
+	// free: the request did not run. The row may exist or still appear, so
+	// that it has to be deleted, or used by the next request with the key.
+	free
+	// releasing: the row of a free key is being deleted.
+	releasing
+)
+
+const (
+	// entryBytes is charged for each entry beside its answer.
+	entryBytes = 512
+	// maxAnswerBytes bounds a stored answer.
+	maxAnswerBytes = 1 << 20
+)
+
+type digest [sha256.Size]byte
+
+// entry is what the owner of a key knows of it.
+type entry struct {
+	key    digest
+	print  digest
+	ticket bool
+	state  state
+	answer *cove.Answer
+	size   int
+	// keep is until when the entry must be kept.
+	keep time.Time
+	// done is closed when the state changes from claiming or running.
+	done chan struct{}
+	// orphan is set when a row of this incarnation belongs to a request that
+	// did not run, so that another request may use it.
+	orphan bool
+	// openUntil bounds how long a commit without an answer is watched for.
+	openUntil time.Time
+	// releaseAt is when the row of a free key is to be deleted.
+	releaseAt time.Time
+}
+
+// keyDigest scopes a key to its team.
+func keyDigest(team cove.Team, key string) digest {
+	h := sha256.New()
+	h.Write([]byte(team))
+	h.Write([]byte{0})
+	h.Write([]byte(key))
+	return digest(h.Sum(nil))
+}
+
+// fingerprint identifies what is requested under a key.
+func fingerprint(req *cove.KeyedRequest) digest {
+	h := sha256.New()
+	h.Write([]byte(req.Method))
+	h.Write([]byte{0})
+	h.Write([]byte(req.Path))
+	h.Write([]byte{0})
+	h.Write(req.BodyDigest[:])
+	return digest(h.Sum(nil))
+}
+
+func answerSize(a *cove.Answer) int {
+	n := len(a.Body)
+	for _, h := range []map[string][]string{a.Header, a.Trailer} {
+		for k, vs := range h {
+			n += len(k)
+			for _, v := range vs {
+				n += len(v) + 16
+			}
+		}
+	}
+	return n
+}
+
+// settle ends the current state and wakes the repeats that wait.
+func (e *entry) settle(s state) {
+	e.state = s
+	close(e.done)
+	e.done = make(chan struct{})
+}
