--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -18,31 +18,31 @@
 
 // answer is the answer of a backend server to one attempt.
 type answer struct {
-	t    *try
+	t    *attempt
 	resp *http.Response
 	// data is what was read of the body; whole tells that nothing follows.
 	data  []byte
 	whole bool
-	// weak marks an answer that is passed on only when no other attempt is
+	// retryable marks an answer that is passed on only when no other attempt is
 	// allowed.
-	weak    bool
-	latency time.Duration
-	bytes   int64
+	retryable bool
+	latency   time.Duration
+	bytes     int64
 	// cancel releases the context of a second attempt.
 	cancel context.CancelFunc
 }
 
-func newAnswer(t *try, resp *http.Response) *answer {
+func newAnswer(t *attempt, resp *http.Response) *answer {
 	a := &answer{t: t, resp: resp, latency: t.p.Clock.Now().Sub(t.begun)}
 	switch resp.StatusCode {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		a.weak = t.x.idempotent()
+		a.retryable = t.x.idempotent()
 	}
 	return a
 }
 
-// weakness is the failure that a weak answer stands for.
-func (a *answer) weakness() *failure {
+// failure is the failure that a retryable answer stands for.
+func (a *answer) failure() *failure {
 	return &failure{
 		refusal: unknown(http.StatusBadGateway, cove.ReasonServerFailed, "backend server failed"),
 		retry:   cove.RetryServerFail,
@@ -83,7 +83,7 @@
 
 // end finishes an attempt whose answer has been read, or failed with err.
 func (a *answer) end(err error) {
-	a.t.leg.finish(err == nil && a.whole)
+	a.t.upstream.finish(err == nil && a.whole)
 	a.t.done(a.result(err))
 	a.release()
 }
@@ -94,9 +94,9 @@
 	}
 }
 
-// drop ends an attempt whose answer nobody wants.
-func (a *answer) drop() {
-	a.t.leg.finish(a.whole)
+// discard ends an attempt whose answer nobody wants.
+func (a *answer) discard() {
+	a.t.upstream.finish(a.whole)
 	res := a.result(nil)
 	res.Canceled = !a.whole
 	a.t.done(res)
@@ -117,7 +117,7 @@
 func (a *answer) shed() *failure {
 	res := a.result(nil)
 	res.Shed = true
-	a.t.leg.finish(a.whole)
+	a.t.upstream.finish(a.whole)
 	a.t.done(res)
 	a.release()
 	retry := cove.RetryShed
@@ -215,14 +215,14 @@
 }
 
 func (p *Proxy) callerGone(a *answer) {
-	a.drop()
+	a.discard()
 	p.Counters.Add(counterCanceled, 1)
 }
 
 // breakOff ends the caller's connection in the middle of an answer.
 func (p *Proxy) breakOff(x *exchange, a *answer, err error) {
 	if x.r.Context().Err() != nil {
-		a.drop()
+		a.discard()
 	} else {
 		a.end(err)
 		p.Counters.Add(counterBroken, 1)
--- a/internal/route/proxy/answer_test.go
+++ b/internal/route/proxy/answer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/bench/server"
 )
 
@@ -37,39 +38,50 @@
 }
 
 // Guards against answers of another request, and parts of answers that look
-// complete (B3), with 5% each of late, crossed and cut answers.
+// complete (B3), with 5% each of late, crossed and cut answers, directly and
+// across a hop between entry hosts.
 func TestFaultyAnswers(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{200, 60_000} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			faults := server.Faults{Late: 0.05, Crossed: 0.05, Cut: 0.05, LateBy: 30 * time.Millisecond}
-			_, targets := newServers(t, 4, server.Config{AnswerBytes: size, Faults: faults, Seed: 7})
-			h := newHost(t, "a", nil, Config{}, targets...)
-			var crossed, truncated, complete, broken atomic.Int64
-			client := newClient(t, 16)
-			eachOf(16, 100, func(i int) {
-				path := [...]string{"/orders", "/proofs"}[i%2]
-				id := fmt.Sprintf("req-%d", i)
-				req, err := http.NewRequest(http.MethodPost, h.url+path, strings.NewReader(id))
-				if err != nil {
-					panic(err)
-				}
-				req.Header.Set("Authorization", "Bearer "+testKey)
-				req.Header.Set("X-Request-Id", id)
-				resp, err := client.Do(req)
-				v := inspect(resp, err, id, size)
-				count(&crossed, v.crossed)
-				count(&truncated, v.truncated)
-				complete.Add(int64(v.complete))
-				broken.Add(int64(v.broken))
+		for proto, client := range map[string]*http.Client{"HTTP/1.1": newClient(t, 16), "HTTP/2": h2Client(t)} {
+			t.Run(fmt.Sprint(size, " ", proto), func(t *testing.T) {
+				t.Parallel()
+				checkFaultyAnswers(t, client, size)
 			})
-			t.Logf("complete %d, broken %d, counters %v", complete.Load(), broken.Load(), h.meter.Counts())
-			if crossed.Load() > 0 || truncated.Load() > 0 {
-				t.Errorf("%d crossed and %d truncated answers were passed as whole", crossed.Load(), truncated.Load())
-			}
-			if complete.Load() < 1200 || broken.Load() == 0 {
-				t.Errorf("%d complete and %d broken answers of 1600: the faults did not take place", complete.Load(), broken.Load())
-			}
-		})
+		}
+	}
+}
+
+func checkFaultyAnswers(t *testing.T, client *http.Client, size int) {
+	faults := server.Faults{Late: 0.05, Crossed: 0.05, Cut: 0.05, LateBy: 30 * time.Millisecond}
+	_, targets := newServers(t, 4, server.Config{AnswerBytes: size, Faults: faults, Seed: 7})
+	fleet := newFakeFleet()
+	newHost(t, "b", fleet, Config{}, targets[2:]...)
+	away := cove.Target{Host: "b", Pool: "main", Domain: "se-west-1"}
+	h := newHost(t, "a", fleet, Config{}, targets[0], targets[1], away, away)
+	var crossed, truncated, complete, broken atomic.Int64
+	eachOf(16, 60, func(i int) {
+		path := [...]string{"/orders", "/proofs"}[i%2]
+		id := fmt.Sprintf("req-%d", i)
+		req, err := http.NewRequest(http.MethodPost, h.url+path, strings.NewReader(id))
+		if err != nil {
+			panic(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set("X-Request-Id", id)
+		resp, err := client.Do(req)
+		v := inspect(resp, err, id, size)
+		count(&crossed, v.crossed)
+		count(&truncated, v.truncated)
+		complete.Add(int64(v.complete))
+		broken.Add(int64(v.broken))
+	})
+	t.Logf("complete %d, broken %d, counters %v", complete.Load(), broken.Load(), h.meter.Counts())
+	if crossed.Load() > 0 || truncated.Load() > 0 {
+		t.Errorf("%d crossed and %d truncated answers were passed as whole", crossed.Load(), truncated.Load())
+	}
+	if complete.Load() < 720 || broken.Load() == 0 {
+		t.Errorf("%d complete and %d broken answers of 960: the faults did not take place", complete.Load(), broken.Load())
 	}
 }
 
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -27,8 +27,8 @@
 	avoid *cove.Target
 }
 
-// leg carries one attempt to its target.
-type leg interface {
+// upstream carries one attempt to its target.
+type upstream interface {
 	// send writes the request. An error with wrote() false proves that nothing
 	// ran.
 	send() error
@@ -44,17 +44,17 @@
 	abort()
 }
 
-// try is one attempt with its permit.
-type try struct {
-	p      *Proxy
-	x      *exchange
-	ctx    context.Context
-	permit cove.Permit
-	target cove.Target
-	leg    leg
-	begun  time.Time
-	// lost is set when another attempt has won.
-	lost atomic.Bool
+// attempt is one attempt with its permit.
+type attempt struct {
+	p        *Proxy
+	x        *exchange
+	ctx      context.Context
+	permit   cove.Permit
+	target   cove.Target
+	upstream upstream
+	begun    time.Time
+	// superseded is set when another attempt has won.
+	superseded atomic.Bool
 }
 
 // run makes attempts until one gives an answer.
@@ -63,10 +63,10 @@
 	for {
 		a, f := p.attempt(x)
 		if f == nil {
-			if !a.weak || !p.again(x, a.weakness()) {
+			if !a.retryable || !p.again(x, a.failure()) {
 				return a, nil
 			}
-			last = a.weakness().refusal
+			last = a.failure().refusal
 			x.mayHaveRun.Store(true)
 			a.end(nil)
 			continue
@@ -111,21 +111,21 @@
 	if f != nil {
 		return nil, f
 	}
-	wait, reason := p.patience(x)
-	resp, err := t.leg.head(wait)
+	wait, reason := p.hedgeDelay(x)
+	resp, err := t.upstream.head(wait)
 	if errors.Is(err, errNoByte) {
 		return p.race(x, t, reason)
 	}
-	return t.judge(resp, err)
+	return t.classify(resp, err)
 }
 
 // open chooses a target and sends the request there.
-func (p *Proxy) open(ctx context.Context, x *exchange, fresh bool) (*try, *failure) {
+func (p *Proxy) open(ctx context.Context, x *exchange, fresh bool) (*attempt, *failure) {
 	permit, err := p.Admitter.Admit(ctx, x.pools, x.work, x.exclude)
 	if err != nil {
 		return nil, &failure{refusal: admitRefusal(err)}
 	}
-	t := &try{p: p, x: x, ctx: ctx, permit: permit, target: permit.Target(), begun: p.Clock.Now()}
+	t := &attempt{p: p, x: x, ctx: ctx, permit: permit, target: permit.Target(), begun: p.Clock.Now()}
 	if f := t.start(fresh); f != nil {
 		return nil, f
 	}
@@ -140,28 +140,28 @@
 	return cove.Refuse(http.StatusServiceUnavailable, cove.ReasonDeadline, "no slot before the deadline")
 }
 
-func (t *try) start(fresh bool) *failure {
+func (t *attempt) start(fresh bool) *failure {
 	if err := t.connect(fresh); err != nil {
 		return t.connectFailed(err)
 	}
 	// The key may have been withdrawn while the request waited.
 	if ref := t.p.recheck(t.x); ref != nil {
-		t.leg.finish(false)
+		t.upstream.finish(false)
 		t.done(cove.Result{Canceled: true})
 		return &failure{refusal: ref}
 	}
 	t.permit.Sent()
-	if err := t.leg.send(); err != nil && !t.leg.wrote() {
-		t.leg.finish(false)
+	if err := t.upstream.send(); err != nil && !t.upstream.wrote() {
+		t.upstream.finish(false)
 		return t.connectFailed(err)
 	}
 	return nil
 }
 
-func (t *try) connect(fresh bool) error {
+func (t *attempt) connect(fresh bool) error {
 	if t.target.Host != "" {
 		var err error
-		t.leg, err = t.p.newHop(t)
+		t.upstream, err = t.p.newHopUpstream(t)
 		return err
 	}
 	maxAge := idleTime
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	t.leg = newDirectLeg(t, c)
+	t.upstream = newDirectUpstream(t, c)
 	return nil
 }
 
@@ -191,7 +191,7 @@
 	return nil
 }
 
-func (t *try) connectFailed(err error) *failure {
+func (t *attempt) connectFailed(err error) *failure {
 	if t.ctx.Err() != nil {
 		t.done(cove.Result{Canceled: true})
 		return &failure{refusal: cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "deadline passed before the request was sent")}
@@ -218,15 +218,15 @@
 	x.exclude.Domains = append(x.exclude.Domains, t.Domain)
 }
 
-func (t *try) done(res cove.Result) {
+func (t *attempt) done(res cove.Result) {
 	if res.Latency == 0 {
 		res.Latency = t.p.Clock.Now().Sub(t.begun)
 	}
 	t.permit.Done(res)
 }
 
-// judge turns what came of an attempt into an answer or a failure.
-func (t *try) judge(resp *http.Response, err error) (*answer, *failure) {
+// classify turns what came of an attempt into an answer or a failure.
+func (t *attempt) classify(resp *http.Response, err error) (*answer, *failure) {
 	if err != nil {
 		return nil, t.headFailed(err)
 	}
@@ -245,41 +245,41 @@
 }
 
 // headFailed classifies an attempt that ended without a header.
-func (t *try) headFailed(err error) *failure {
+func (t *attempt) headFailed(err error) *failure {
 	var hr *hopRefusal
 	if errors.As(err, &hr) {
 		return t.refusedByPeer(hr.refusal)
 	}
-	if !t.leg.wrote() {
-		t.leg.finish(false)
+	if !t.upstream.wrote() {
+		t.upstream.finish(false)
 		return t.connectFailed(err)
 	}
 	if t.x.body.tooLarge() {
-		t.giveUp(cove.Result{Canceled: true})
+		t.abandon(cove.Result{Canceled: true})
 		return &failure{refusal: unknown(errBody.Status, errBody.Reason, errBody.Detail)}
 	}
 	if t.x.body.failed() {
-		t.giveUp(cove.Result{Canceled: true})
+		t.abandon(cove.Result{Canceled: true})
 		return &failure{refusal: unknown(errBodyRead.Status, errBodyRead.Reason, errBodyRead.Detail)}
 	}
-	if t.lost.Load() {
+	if t.superseded.Load() {
 		silent := t.p.Clock.Now().Sub(t.begun) >= silence(t.x.state)
-		t.giveUp(cove.Result{Canceled: !silent, Silent: silent})
+		t.abandon(cove.Result{Canceled: !silent, Silent: silent})
 		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerSilent, "another attempt was faster")}
 	}
 	if errors.Is(t.ctx.Err(), context.Canceled) {
-		t.giveUp(cove.Result{Canceled: true})
+		t.abandon(cove.Result{Canceled: true})
 		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerFailed, "caller has gone")}
 	}
 	if t.ctx.Err() != nil {
-		t.giveUp(cove.Result{Silent: true, Err: err})
+		t.abandon(cove.Result{Silent: true, Err: err})
 		return &failure{refusal: unknown(http.StatusGatewayTimeout, cove.ReasonServerSilent, "no answer before the deadline")}
 	}
 	return t.broken(err)
 }
 
-func (t *try) broken(err error) *failure {
-	t.giveUp(cove.Result{Err: err})
+func (t *attempt) broken(err error) *failure {
+	t.abandon(cove.Result{Err: err})
 	reason := cove.ReasonServerFailed
 	if t.target.Host != "" {
 		reason = cove.ReasonPeer
@@ -293,8 +293,8 @@
 
 var errCrossed = errors.New("answer belongs to another request")
 
-func (t *try) crossed() *failure {
-	t.giveUp(cove.Result{Err: errCrossed})
+func (t *attempt) crossed() *failure {
+	t.abandon(cove.Result{Err: errCrossed})
 	return &failure{
 		refusal: unknown(http.StatusBadGateway, cove.ReasonCrossedAnswer, "backend server answered another request"),
 		retry:   cove.RetryCrossed,
@@ -302,9 +302,9 @@
 	}
 }
 
-// giveUp ends an attempt that may have run.
-func (t *try) giveUp(res cove.Result) {
+// abandon ends an attempt that may have run.
+func (t *attempt) abandon(res cove.Result) {
 	t.x.mayHaveRun.Store(true)
-	t.leg.finish(false)
+	t.upstream.finish(false)
 	t.done(res)
 }
--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -104,7 +104,7 @@
 	x.ctx = x.ctx.detach()
 	a, err := p.run(x)
 	if err != nil {
-		settled = x.settle(asRefusal(err)).Outcome == cove.NotRun
+		settled = x.finalRefusal(asRefusal(err)).Outcome == cove.NotRun
 		if settled {
 			run.NotRun()
 		}
@@ -138,24 +138,24 @@
 	copyAnswer(h, kept.Header)
 	h[headerReplayed] = []string{"true"}
 	resp := &http.Response{StatusCode: kept.Status, Header: h, Body: http.NoBody, Trailer: kept.Trailer}
-	t := &try{p: p, x: x, ctx: x.ctx, permit: noPermit{}, leg: noLeg{}}
+	t := &attempt{p: p, x: x, ctx: x.ctx, permit: noPermit{}, upstream: noUpstream{}}
 	return &answer{t: t, resp: resp, data: kept.Body, whole: true}
 }
 
-// noPermit and noLeg stand for an answer that needs no attempt.
+// noPermit and noUpstream stand for an answer that needs no attempt.
 type noPermit struct{}
 
 func (noPermit) Target() cove.Target { return cove.Target{} }
 func (noPermit) Sent()               {}
 func (noPermit) Done(cove.Result)    {}
 
-type noLeg struct{}
+type noUpstream struct{}
 
-func (noLeg) send() error                                { return nil }
-func (noLeg) wrote() bool                                { return false }
-func (noLeg) head(time.Duration) (*http.Response, error) { return nil, errNoByte }
-func (noLeg) finish(bool)                                {}
-func (noLeg) abort()                                     {}
+func (noUpstream) send() error                                { return nil }
+func (noUpstream) wrote() bool                                { return false }
+func (noUpstream) head(time.Duration) (*http.Response, error) { return nil, errNoByte }
+func (noUpstream) finish(bool)                                {}
+func (noUpstream) abort()                                     {}
 
 // passToOwner sends a keyed request to the host that owns its key.
 func (p *Proxy) passToOwner(x *exchange, owner cove.HostID) (*answer, error) {
@@ -183,11 +183,11 @@
 		}
 		return nil, errOwner
 	}
-	t := &try{p: p, x: x, ctx: ctx, permit: noPermit{}, target: cove.Target{Host: owner}, begun: p.Clock.Now()}
-	t.leg = &hopLeg{t: t, cancel: cancel, resp: resp}
+	t := &attempt{p: p, x: x, ctx: ctx, permit: noPermit{}, target: cove.Target{Host: owner}, begun: p.Clock.Now()}
+	t.upstream = &hopUpstream{t: t, cancel: cancel, resp: resp}
 	a := newAnswer(t, resp)
 	if err := a.readShort(); err != nil {
-		t.leg.finish(false)
+		t.upstream.finish(false)
 		return nil, errOwner
 	}
 	return a, nil
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -12,9 +12,9 @@
 // anyway (RFC 9110, section 10.1.1).
 const continueTimeout = time.Second
 
-// directLeg is an attempt on a connection to a backend server.
-type directLeg struct {
-	t *try
+// directUpstream is an attempt on a connection to a backend server.
+type directUpstream struct {
+	t *attempt
 	c *conn
 	// stop ends the watch of the context.
 	stop func() bool
@@ -31,26 +31,26 @@
 	sendErr error
 }
 
-func newDirectLeg(t *try, c *conn) *directLeg {
-	l := &directLeg{t: t, c: c}
+func newDirectUpstream(t *attempt, c *conn) *directUpstream {
+	l := &directUpstream{t: t, c: c}
 	l.stop = context.AfterFunc(l.watched(), c.closeFunc)
 	return l
 }
 
 // watched is the context whose end closes the connection. The deadline of the
 // exchange is set on the connection instead.
-func (l *directLeg) watched() context.Context {
+func (l *directUpstream) watched() context.Context {
 	if c, ok := l.t.ctx.(*deadlineContext); ok {
 		return c.parent
 	}
 	return l.t.ctx
 }
 
-func (l *directLeg) wrote() bool { return l.c.wrote }
+func (l *directUpstream) wrote() bool { return l.c.wrote }
 
-func (l *directLeg) abort() { l.c.close() }
+func (l *directUpstream) abort() { l.c.close() }
 
-func (l *directLeg) send() error {
+func (l *directUpstream) send() error {
 	x := l.t.x
 	if err := l.c.begin(x.ctx.deadline); err != nil {
 		return err
@@ -73,7 +73,7 @@
 }
 
 // sendStream sends the body while the answer is read.
-func (l *directLeg) sendStream() {
+func (l *directUpstream) sendStream() {
 	l.proceed = make(chan struct{})
 	l.quit = make(chan struct{})
 	l.sent = make(chan struct{})
@@ -93,7 +93,7 @@
 }
 
 // mayProceed waits for the backend server to ask for the body.
-func (l *directLeg) mayProceed() bool {
+func (l *directUpstream) mayProceed() bool {
 	if !l.t.x.body.expect {
 		return true
 	}
@@ -109,7 +109,7 @@
 	}
 }
 
-func (l *directLeg) head(wait time.Duration) (*http.Response, error) {
+func (l *directUpstream) head(wait time.Duration) (*http.Response, error) {
 	if wait > 0 {
 		if err := l.c.waitByte(wait); err != nil {
 			return nil, err
@@ -123,13 +123,13 @@
 	return resp, nil
 }
 
-func (l *directLeg) allowBody() {
+func (l *directUpstream) allowBody() {
 	if l.proceed != nil {
 		l.proceedOnce.Do(func() { close(l.proceed) })
 	}
 }
 
-func (l *directLeg) finish(complete bool) {
+func (l *directUpstream) finish(complete bool) {
 	alive := l.stop()
 	if l.sent != nil && !l.bodySent() {
 		complete = false
@@ -142,7 +142,7 @@
 }
 
 // bodySent ends the sending of the body and reports whether it was complete.
-func (l *directLeg) bodySent() bool {
+func (l *directUpstream) bodySent() bool {
 	select {
 	case <-l.sent:
 		return l.sendErr == nil
@@ -157,6 +157,6 @@
 	return false
 }
 
-func (l *directLeg) reusable() bool {
+func (l *directUpstream) reusable() bool {
 	return l.resp != nil && !l.resp.Close && l.resp.ProtoAtLeast(1, 1) && l.c.br.Buffered() == 0
 }
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -38,8 +38,8 @@
 	host   string
 	fields []field
 	body   body
-	// scrub holds the caller's key, to keep it from the backend server.
-	scrub scrubber
+	// filter holds the caller's key, to keep it from the backend server.
+	filter keyFilter
 
 	pools   []cove.PoolWeight
 	work    cove.WorkClass
@@ -79,9 +79,9 @@
 	return true
 }
 
-// settle corrects the outcome of a final refusal: one attempt that may have run
+// finalRefusal corrects the outcome of a final refusal: one attempt that may have run
 // makes the whole request uncertain.
-func (x *exchange) settle(r *cove.Refusal) *cove.Refusal {
+func (x *exchange) finalRefusal(r *cove.Refusal) *cove.Refusal {
 	if r.Outcome == cove.Unknown || !x.mayHaveRun.Load() {
 		return r
 	}
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -15,9 +15,9 @@
 	maxSilence = 900 * time.Millisecond
 )
 
-// patience returns how long an attempt may stay without a byte before a second
+// hedgeDelay returns how long an attempt may stay without a byte before a second
 // one is made beside it; 0 means that none is allowed.
-func (p *Proxy) patience(x *exchange) (time.Duration, cove.RetryReason) {
+func (p *Proxy) hedgeDelay(x *exchange) (time.Duration, cove.RetryReason) {
 	if !x.idempotent() || x.tries >= x.maxAttempts() || x.body.stream != nil {
 		return 0, ""
 	}
@@ -45,9 +45,9 @@
 }
 
 // race makes a second attempt at another target and takes the first answer.
-func (p *Proxy) race(x *exchange, first *try, reason cove.RetryReason) (*answer, *failure) {
+func (p *Proxy) race(x *exchange, first *attempt, reason cove.RetryReason) (*answer, *failure) {
 	if !p.budget.Spend() {
-		return first.judge(first.leg.head(0))
+		return first.classify(first.upstream.head(0))
 	}
 	p.Counters.Add("retry."+string(reason), 1)
 	x.avoid(first.target)
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	results := make(chan finished, 2)
 	p.tasks.Go(func(context.Context) error {
-		a, f := first.judge(first.leg.head(0))
+		a, f := first.classify(first.upstream.head(0))
 		results <- finished{true, a, f}
 		return nil
 	})
@@ -74,7 +74,7 @@
 		won.a.cancel = cancel
 		return won.a, nil
 	}
-	p.dropLoser(won, first, cancel, results)
+	p.discardLoser(won, first, cancel, results)
 	return won.a, nil
 }
 
@@ -84,22 +84,22 @@
 	if f != nil {
 		return nil, f
 	}
-	return t.judge(t.leg.head(0))
+	return t.classify(t.upstream.head(0))
 }
 
-// dropLoser cancels the attempt that has not won and waits for it in the
+// discardLoser cancels the attempt that has not won and waits for it in the
 // background.
-func (p *Proxy) dropLoser(won finished, first *try, cancel context.CancelFunc, results <-chan finished) {
+func (p *Proxy) discardLoser(won finished, first *attempt, cancel context.CancelFunc, results <-chan finished) {
 	if won.first {
 		cancel()
 	} else {
 		won.a.cancel = cancel
-		first.lost.Store(true)
-		first.leg.abort()
+		first.superseded.Store(true)
+		first.upstream.abort()
 	}
 	p.tasks.Go(func(context.Context) error {
-		if lost := <-results; lost.a != nil {
-			lost.a.drop()
+		if superseded := <-results; superseded.a != nil {
+			superseded.a.discard()
 		}
 		return nil
 	})
--- a/internal/route/proxy/hop.go
+++ b/internal/route/proxy/hop.go
@@ -25,26 +25,27 @@
 // prefix is removed from their requests, and only authenticated hosts reach the
 // peer port.
 const (
-	hopVersion  = peerPrefix + "Version"
-	hopMethod   = peerPrefix + "Method"
-	hopTarget   = peerPrefix + "Target"
-	hopHost     = peerPrefix + "Host"
-	hopRoute    = peerPrefix + "Route"
-	hopTeam     = peerPrefix + "Team"
-	hopPool     = peerPrefix + "Pool"
-	hopDeadline = peerPrefix + "Deadline-Ms"
-	hopAttempt  = peerPrefix + "Attempt"
-	hopOrigin   = peerPrefix + "Origin"
-	hopMoved    = peerPrefix + "Moved"
-	hopBlock    = peerPrefix + "Block"
-	hopID       = peerPrefix + "Request-Id"
-	hopExpect   = peerPrefix + "Expect"
-	hopStatus   = peerPrefix + "Status"
-	hopReason   = peerPrefix + "Reason"
-	hopDetail   = peerPrefix + "Detail"
-	hopRetryMs  = peerPrefix + "Retry-After-Ms"
-	hopLength   = peerPrefix + "Length"
-	hopDraining = peerPrefix + "Draining"
+	hopVersion     = peerPrefix + "Version"
+	hopSender      = peerPrefix + "Sender"
+	hopIncarnation = peerPrefix + "Incarnation"
+	hopMethod      = peerPrefix + "Method"
+	hopTarget      = peerPrefix + "Target"
+	hopHost        = peerPrefix + "Host"
+	hopRoute       = peerPrefix + "Route"
+	hopTeam        = peerPrefix + "Team"
+	hopPool        = peerPrefix + "Pool"
+	hopDeadline    = peerPrefix + "Deadline-Ms"
+	hopAttempt     = peerPrefix + "Attempt"
+	hopOrigin      = peerPrefix + "Origin"
+	hopMoved       = peerPrefix + "Moved"
+	hopBlock       = peerPrefix + "Block"
+	hopID          = peerPrefix + "Request-Id"
+	hopStatus      = peerPrefix + "Status"
+	hopReason      = peerPrefix + "Reason"
+	hopDetail      = peerPrefix + "Detail"
+	hopRetryMs     = peerPrefix + "Retry-After-Ms"
+	hopLength      = peerPrefix + "Length"
+	hopDraining    = peerPrefix + "Draining"
 )
 
 // protocolVersion is the version of the hop's headers.
@@ -58,11 +59,12 @@
 // Error implements error.
 func (e *hopRefusal) Error() string { return "peer: " + e.refusal.Error() }
 
-// hopLeg is an attempt through another entry host.
-type hopLeg struct {
-	t      *try
+// hopUpstream is an attempt through another entry host.
+type hopUpstream struct {
+	t      *attempt
 	client *http.Client
 	req    *http.Request
+	body   io.ReadCloser
 	cancel context.CancelFunc
 	began  atomic.Bool
 	resp   *http.Response
@@ -74,8 +76,8 @@
 	err  error
 }
 
-func (p *Proxy) newHop(t *try) (*hopLeg, error) {
-	l := &hopLeg{t: t}
+func (p *Proxy) newHopUpstream(t *attempt) (*hopUpstream, error) {
+	l := &hopUpstream{t: t}
 	ctx, cancel := context.WithCancel(t.ctx)
 	l.cancel = cancel
 	req, client, err := p.hopRequest(ctx, t.x, t.target.Host, forwardPath)
@@ -86,6 +88,7 @@
 	req.Header[hopPool] = []string{string(t.target.Pool)}
 	req.Header[hopMoved] = []string{strconv.FormatBool(t.target.Moved)}
 	l.client = client
+	l.body = req.Body
 	// A connection was obtained, so bytes may have been written from here on.
 	l.req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { l.began.Store(true) },
@@ -113,6 +116,10 @@
 		// Keeps net/http from asking for a coding that the caller did not ask for.
 		req.Header["Accept-Encoding"] = []string{"identity"}
 	}
+	if req.Header["User-Agent"] == nil {
+		// Keeps net/http from adding its own.
+		req.Header["User-Agent"] = []string{""}
+	}
 	p.setHopHeaders(req.Header, x)
 	setHopBody(req, &x.body)
 	return req, client, nil
@@ -131,9 +138,8 @@
 	set(hopOrigin, string(x.work.Origin))
 	set(hopBlock, strconv.FormatUint(x.work.Block, 16))
 	set(hopID, x.id)
-	if x.body.expect {
-		set(hopExpect, "1")
-	}
+	set(hopSender, string(p.Self.ID))
+	set(hopIncarnation, p.Self.Incarnation.String())
 }
 
 func setHopBody(req *http.Request, b *body) {
@@ -144,19 +150,19 @@
 		}
 		return
 	}
-	req.Body = b.reader()
+	req.Body = &hopBody{s: b.stream}
 	req.Trailer = b.trailer
 	if b.expect {
 		req.Header["Expect"] = []string{"100-continue"}
 	}
 }
 
-func (l *hopLeg) wrote() bool { return l.began.Load() }
+func (l *hopUpstream) wrote() bool { return l.began.Load() }
 
-func (l *hopLeg) abort() { l.cancel() }
+func (l *hopUpstream) abort() { l.cancel() }
 
 // send starts the request. Whether it can be sent shows in head.
-func (l *hopLeg) send() error {
+func (l *hopUpstream) send() error {
 	l.result = make(chan hopResult, 1)
 	l.t.p.tasks.Go(func(context.Context) error {
 		resp, err := l.client.Do(l.req)
@@ -166,7 +172,7 @@
 	return nil
 }
 
-func (l *hopLeg) head(wait time.Duration) (*http.Response, error) {
+func (l *hopUpstream) head(wait time.Duration) (*http.Response, error) {
 	var timeout <-chan time.Time
 	if wait > 0 {
 		timer := time.NewTimer(wait)
@@ -186,7 +192,7 @@
 	return l.resp, readHopAnswer(l.resp)
 }
 
-func (l *hopLeg) finish(complete bool) {
+func (l *hopUpstream) finish(complete bool) {
 	if !complete {
 		l.cancel()
 	}
@@ -195,8 +201,39 @@
 		_ = l.resp.Body.Close()
 	}
 	l.cancel()
-	if l.t.x.body.stream != nil {
-		l.t.x.body.release()
+	if b, ok := l.body.(*hopBody); ok {
+		b.end()
+	}
+}
+
+// hopBody is a caller's body on its way to another host. The HTTP client may
+// begin to read it at any time until the attempt ends.
+type hopBody struct {
+	s *streamBody
+	// owned is set by the first of the reader and the end of the attempt.
+	owned   atomic.Bool
+	reading atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *hopBody) Read(buf []byte) (int, error) {
+	if !b.reading.Load() {
+		if !b.owned.CompareAndSwap(false, true) {
+			return 0, http.ErrBodyReadAfterClose
+		}
+		b.reading.Store(true)
+	}
+	return b.s.Read(buf)
+}
+
+// Close implements io.Closer. The server closes the caller's body.
+func (b *hopBody) Close() error { return nil }
+
+// end forbids further reads. A body that nobody has read is left for another
+// attempt.
+func (b *hopBody) end() {
+	if !b.owned.CompareAndSwap(false, true) {
+		b.s.release()
 	}
 }
 
@@ -233,8 +270,8 @@
 }
 
 // refusedByPeer ends an attempt that the other host refused.
-func (t *try) refusedByPeer(r *cove.Refusal) *failure {
-	t.leg.finish(false)
+func (t *attempt) refusedByPeer(r *cove.Refusal) *failure {
+	t.upstream.finish(false)
 	f := &failure{refusal: r, avoid: &t.target}
 	if r.Outcome != cove.NotRun {
 		t.x.mayHaveRun.Store(true)
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -62,6 +62,7 @@
 // Guards against outcomes that change on the way between hosts: a refusal lets
 // the origin choose again, an attempt that may have run never does.
 func TestHopOutcomes(t *testing.T) {
+	t.Parallel()
 	fleet := newFakeFleet()
 	servers, targets := newServers(t, 1, server.Config{})
 	newHost(t, "b", fleet, Config{}, targets...)
@@ -162,6 +163,7 @@
 // Guards against keyed requests that run twice, lose the first answer, or run
 // away from the host that owns their key.
 func TestKeyedRequests(t *testing.T) {
+	t.Parallel()
 	fleet := newFakeFleet()
 	servers, targets := newServers(t, 1, server.Config{})
 	b := newHost(t, "b", fleet, Config{}, targets...)
@@ -263,6 +265,7 @@
 // Guards against requests that a graceful stop interrupts (P11), and a hard
 // stop that does not report what it cut.
 func TestStop(t *testing.T) {
+	t.Parallel()
 	_, targets := newServers(t, 1, server.Config{Service: 30 * time.Millisecond})
 	h := newHost(t, "a", nil, Config{QuietTime: 50 * time.Millisecond}, targets...)
 	client := newClient(t, 64)
--- a/internal/route/proxy/key.go
+++ b/internal/route/proxy/key.go
@@ -11,9 +11,9 @@
 const (
 	authorization = "Authorization"
 	bearer        = "bearer "
-	// minScrub is the least length of a key that is searched for in other
+	// minKeyMatch is the least length of a key that is searched for in other
 	// places; a shorter one would match by chance.
-	minScrub = 8
+	minKeyMatch = 8
 )
 
 // Shared refusals of requests without a usable key.
@@ -107,16 +107,16 @@
 	return out
 }
 
-// scrubber removes keys from what is passed on to a backend server.
-type scrubber struct {
+// keyFilter removes keys from what is passed on to a backend server.
+type keyFilter struct {
 	places keyPlaces
 	// key is the caller's key, when the request carried one.
 	key string
 }
 
 // holds reports whether s contains the caller's key, plainly or escaped.
-func (s scrubber) holds(v string) bool {
-	if len(s.key) < minScrub || len(v) < len(s.key) {
+func (s keyFilter) holds(v string) bool {
+	if len(s.key) < minKeyMatch || len(v) < len(s.key) {
 		return false
 	}
 	if strings.Contains(v, s.key) {
@@ -126,7 +126,7 @@
 }
 
 // fields removes headers that are places of keys or hold the key.
-func (s scrubber) fields(fields []field) []field {
+func (s keyFilter) fields(fields []field) []field {
 	kept := fields[:0]
 	for _, f := range fields {
 		if s.places.headers[f.name] {
@@ -145,7 +145,7 @@
 	return kept
 }
 
-func (s scrubber) anyHolds(values []string) bool {
+func (s keyFilter) anyHolds(values []string) bool {
 	for _, v := range values {
 		if s.holds(v) {
 			return true
@@ -156,7 +156,7 @@
 
 // cookies drops each cookie whose name is a place of keys or whose value holds
 // the key.
-func (s scrubber) cookies(values []string) []string {
+func (s keyFilter) cookies(values []string) []string {
 	var out []string
 	for _, v := range values {
 		var kept []string
@@ -175,12 +175,12 @@
 	return out
 }
 
-func (s scrubber) placeName(name string) bool {
+func (s keyFilter) placeName(name string) bool {
 	return s.places.queries[name] || s.places.headers[http.CanonicalHeaderKey(name)]
 }
 
 // uri returns the request target without key parameters.
-func (s scrubber) uri(u *url.URL) (string, *cove.Refusal) {
+func (s keyFilter) uri(u *url.URL) (string, *cove.Refusal) {
 	path := u.EscapedPath()
 	if s.holds(path) || s.holds(u.Path) {
 		return "", errKeyInURI
@@ -192,7 +192,7 @@
 	return path + "?" + query, nil
 }
 
-func (s scrubber) query(raw string) string {
+func (s keyFilter) query(raw string) string {
 	if raw == "" || !s.suspect(raw) {
 		return raw
 	}
@@ -209,7 +209,7 @@
 
 // suspect reports whether a query needs to be taken apart. Escapes could hide a
 // name, so any of them counts.
-func (s scrubber) suspect(raw string) bool {
+func (s keyFilter) suspect(raw string) bool {
 	if strings.IndexByte(raw, '%') >= 0 || s.holds(raw) {
 		return true
 	}
--- a/internal/route/proxy/once_test.go
+++ b/internal/route/proxy/once_test.go
@@ -23,25 +23,25 @@
 	client  *http.Client
 	servers []*server.Server
 
-	mu   sync.Mutex
-	sent int
-	told []told
+	mu      sync.Mutex
+	sent    int
+	results []callerResult
 	// first is the body of the first answer for each idempotency key.
 	first map[string]string
 }
 
-// told is what one caller learned of its request.
-type told struct {
+// callerResult is what one caller learned of its request.
+type callerResult struct {
 	id, key string
 	status  int
 	outcome cove.Outcome
 }
 
-// hopeful is a caller's connection through something that reports all refusals
+// optimisticTransport is a caller's connection through something that reports all refusals
 // as not-run.
-type hopeful struct{ http.RoundTripper }
+type optimisticTransport struct{ http.RoundTripper }
 
-func (h hopeful) RoundTrip(r *http.Request) (*http.Response, error) {
+func (h optimisticTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := h.RoundTripper.RoundTrip(r)
 	if err == nil && resp.Header.Get(headerOutcome) != "" {
 		resp.Header.Set(headerOutcome, string(cove.NotRun))
@@ -66,8 +66,8 @@
 	faults [2]server.Fault
 	// reset ends the backend servers' connections before the request.
 	reset bool
-	// twins is the number of equal requests at the same time.
-	twins int
+	// copies is the number of equal requests at the same time.
+	copies int
 }
 
 func (c post) String() string {
@@ -92,8 +92,8 @@
 		srv.Inject(c.faults[i])
 	}
 	var wg sync.WaitGroup
-	results := make([]string, c.twins)
-	for i := range c.twins {
+	results := make([]string, c.copies)
+	for i := range c.copies {
 		wg.Go(func() { results[i] = s.send(c) })
 	}
 	wg.Wait()
@@ -107,7 +107,7 @@
 func (s *onceSystem) send(c post) string {
 	s.mu.Lock()
 	s.sent++
-	to := told{id: fmt.Sprintf("req-%d", s.sent), key: c.key}
+	to := callerResult{id: fmt.Sprintf("req-%d", s.sent), key: c.key}
 	s.mu.Unlock()
 	req, err := http.NewRequest(http.MethodPost, s.h.url+"/hurry", strings.NewReader(c.body))
 	if err != nil {
@@ -130,7 +130,7 @@
 	to.outcome = cove.Outcome(resp.Header.Get(headerOutcome))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told = append(s.told, to)
+	s.results = append(s.results, to)
 	if to.status != http.StatusOK || c.key == "" {
 		return ""
 	}
@@ -157,7 +157,7 @@
 			return fmt.Sprintf("key %s ran %d times", key, n)
 		}
 	}
-	for _, to := range s.told {
+	for _, to := range s.results {
 		switch {
 		case to.outcome == cove.NotRun && byID[to.id] > 0:
 			return to.id + " ran and its caller was told not-run"
@@ -200,6 +200,7 @@
 // Guards against duplicate executions (P9) and false not-run (P8) with silent,
 // cut and reset connections, crossed answers, and equal requests at a time.
 func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
 	res := onceProperty(t, 20261204, 40, func(*onceSystem) {})
 	if !res.Passed() {
 		t.Fatalf("%s\n%v", res.Labels, res.Args)
@@ -209,9 +210,10 @@
 // Shows that the check of TestAtMostOnce catches a ledger that runs repeats and
 // a system that reports uncertain requests as not-run.
 func TestAtMostOnceOracle(t *testing.T) {
+	t.Parallel()
 	for name, breakIt := range map[string]func(*onceSystem){
 		"ledger":  func(s *onceSystem) { s.h.ledger.broken = true },
-		"outcome": func(s *onceSystem) { s.client.Transport = hopeful{s.client.Transport} },
+		"outcome": func(s *onceSystem) { s.client.Transport = optimisticTransport{s.client.Transport} },
 	} {
 		if res := onceProperty(t, 20261204, 20, breakIt); res.Passed() {
 			t.Errorf("broken %s passed", name)
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -51,6 +51,10 @@
 		writeHopRefusal(w, errNotPeer)
 		return
 	}
+	if r.Header.Get(hopVersion) == "" {
+		writeHopRefusal(w, errPeerForm)
+		return
+	}
 	defer p.active.Add(-1)
 	if ref := p.enter(); ref != nil {
 		writeHopRefusal(w, ref)
@@ -64,7 +68,7 @@
 	}
 	a, err := run(x)
 	if err != nil {
-		writeHopRefusal(w, x.settle(asRefusal(err)))
+		writeHopRefusal(w, x.finalRefusal(asRefusal(err)))
 		return
 	}
 	p.deliver(x, a)
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -92,7 +92,7 @@
 // the refusal too: it may have closed one direction only, and net/http sends an
 // empty 200 when nothing is written.
 func (p *Proxy) fail(x *exchange, err error) {
-	ref := x.settle(asRefusal(err))
+	ref := x.finalRefusal(asRefusal(err))
 	if x.r.Context().Err() != nil {
 		p.Counters.Add(counterCanceled, 1)
 		writeProblem(x.w, x.callerID, ref)
@@ -164,7 +164,7 @@
 	if ref != nil {
 		return ref
 	}
-	x.scrub = scrubber{places: x.table.places, key: key}
+	x.filter = keyFilter{places: x.table.places, key: key}
 	if x.route.Open {
 		return p.clean(x, from)
 	}
@@ -203,13 +203,13 @@
 // clean builds what is passed on, without keys and without claims of the
 // caller about itself.
 func (p *Proxy) clean(x *exchange, from *caller) error {
-	uri, ref := x.scrub.uri(x.r.URL)
+	uri, ref := x.filter.uri(x.r.URL)
 	if ref != nil {
 		return ref
 	}
 	x.method, x.uri, x.host = x.r.Method, uri, x.r.Host
 	x.fields = make([]field, 0, len(x.r.Header)+ownFields)
-	x.fields = x.scrub.fields(forwardable(x.fields, x.r.Header))
+	x.fields = x.filter.fields(forwardable(x.fields, x.r.Header))
 	x.fields = forwardedFields(x.fields, from, x.host)
 	x.fields = traceFields(x.fields, x.r.Header)
 	return nil
@@ -267,7 +267,7 @@
 // trailerClean reports whether a trailer may be passed on.
 func (p *Proxy) trailerClean(x *exchange, h http.Header) bool {
 	for name, values := range h {
-		if x.scrub.places.headers[name] || x.scrub.anyHolds(values) {
+		if x.filter.places.headers[name] || x.filter.anyHolds(values) {
 			return false
 		}
 	}
--- a/internal/route/proxy/shape_test.go
+++ b/internal/route/proxy/shape_test.go
@@ -205,7 +205,7 @@
 	f.Add("a;b", "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01", "x:80", "k="+testKey, "id")
 	f.Fuzz(func(t *testing.T, key, trace, hostName, query, id string) {
 		h := http.Header{"Traceparent": {trace}, "Cookie": {query}, "Forwarded": {hostName}, headerRequestID: {id}}
-		s := scrubber{places: compilePlaces(testRoutes()), key: testKey}
+		s := keyFilter{places: compilePlaces(testRoutes()), key: testKey}
 		fields := s.fields(forwardable(nil, h))
 		fields = traceFields(fields, h)
 		if validHost(hostName) {
--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -45,7 +45,7 @@
 	p.phase.Store(phaseStopping)
 	var err error
 	if quiet != nil || p.server.Shutdown(ctx) != nil {
-		err = p.cut()
+		err = p.abortRequests()
 	}
 	p.pool.shut()
 	tctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), taskGrace)
@@ -75,8 +75,8 @@
 	}
 }
 
-// cut ends all connections and reports the requests that were in progress.
-func (p *Proxy) cut() error {
+// abortRequests ends all connections and reports the requests that were in progress.
+func (p *Proxy) abortRequests() error {
 	total := p.active.Load()
 	var fields []cove.Field
 	for name, n := range p.routes.inProgress() {
--- a/internal/route/proxy/stream_test.go
+++ b/internal/route/proxy/stream_test.go
@@ -48,6 +48,7 @@
 // Guards against buffering between caller and backend server, and against lost
 // trailers, on HTTP/1.1, HTTP/2 and across a hop between entry hosts.
 func TestStreamBothWays(t *testing.T) {
+	t.Parallel()
 	_, targets := newServers(t, 1, server.Config{Run: echo})
 	fleet := newFakeFleet()
 	newHost(t, "b", fleet, Config{}, targets...)
