Never read the rest of a body as the next request

net/http leaves a body alone that is read while the response is written. When an answer or refusal came before the end of the body, it took the rest for the next request of the connection: TestUnreadBodyIsNoRequest had up to ten more requests on one connection. Such responses now end the connection. Refusals of the limiter and authenticator without an outcome are not-run, and of two failed attempts the one that may have run decides.

--- a/internal/bench/server/record.go
+++ b/internal/bench/server/record.go
@@ -55,8 +55,10 @@
 	}
 }
 
-// leaks records each caller key in the request line or header.
+// leaks records each caller key in the request line or header, and whatever an
+// Authorization header holds, since no entry host passes one on.
 func (rec *record) leaks(r *http.Request, keys []string) {
+	keys = append(r.Header["Authorization"], keys...)
 	for _, key := range keys {
 		if !carries(r, key) {
 			continue
--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -140,6 +140,7 @@
 		status = wrapAnswer(h, a)
 	} else {
 		h[headerRequestID] = []string{x.callerID}
+		x.closeIfUnread()
 	}
 	announceTrailer(h, a.resp.Trailer)
 	if a.whole {
@@ -221,7 +222,7 @@
 
 // breakOff ends the caller's connection in the middle of an answer.
 func (p *Proxy) breakOff(x *exchange, a *answer, err error) {
-	if x.r.Context().Err() != nil {
+	if x.r.Context().Err() != nil || x.body.failed() {
 		a.discard()
 	} else {
 		a.end(err)
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -192,7 +192,7 @@
 }
 
 func (t *attempt) connectFailed(err error) *failure {
-	if t.ctx.Err() != nil {
+	if t.ctx.Err() != nil || t.superseded.Load() {
 		t.done(cove.Result{Canceled: true})
 		return &failure{refusal: cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "deadline passed before the request was sent")}
 	}
--- a/internal/route/proxy/body.go
+++ b/internal/route/proxy/body.go
@@ -45,6 +45,11 @@
 	return b.stream != nil && b.stream.failed.Load()
 }
 
+// unread reports whether a part of the caller's body is still to come.
+func (b *body) unread() bool {
+	return b.stream != nil && !b.stream.whole.Load()
+}
+
 // reader returns the body for an attempt, or nil when it is empty.
 func (b *body) reader() io.ReadCloser {
 	if b.stream != nil {
@@ -119,8 +124,10 @@
 	mu       sync.Mutex
 	err      error
 	tooLarge atomic.Bool
-	// failed is set when the caller's body ended with an error.
+	// failed is set when the caller's body ended with an error, whole when it
+	// was read to its end.
 	failed atomic.Bool
+	whole  atomic.Bool
 }
 
 func newStreamBody(w http.ResponseWriter, r *http.Request, max int64) *streamBody {
@@ -154,6 +161,7 @@
 	if err != nil {
 		s.err = err
 		s.failed.Store(err != io.EOF)
+		s.whole.Store(err == io.EOF)
 	}
 	return n, err
 }
--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -76,7 +76,7 @@
 	if x.r.ContentLength >= 0 {
 		need = x.r.ContentLength
 	}
-	if !p.hold(x, need) {
+	if !p.reserve(x, need) {
 		return errBusy
 	}
 	data, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
@@ -110,13 +110,13 @@
 		}
 		return nil, err
 	}
-	if !a.whole && !p.hold(x, p.cfg.MaxKeyedBytes) {
+	if !a.whole && !p.reserve(x, p.cfg.MaxKeyedBytes) {
 		return a, nil
 	}
 	whole, err := a.readAll(p.cfg.MaxKeyedBytes)
 	if err != nil {
-		f := a.t.broken(err)
-		return nil, f.refusal
+		a.release()
+		return nil, a.t.broken(err).refusal
 	}
 	if whole {
 		settled = true
@@ -235,7 +235,9 @@
 	}
 	who, err := p.Keys.Authenticate(key, callerOf(r).addr)
 	if err != nil {
-		return "", err
+		return "", notRun(err)
 	}
-	return who.Team, p.Limiter.Take(r.Context(), who.Team, 1)
+	ctx, cancel := context.WithTimeout(r.Context(), p.cfg.Deadline)
+	defer cancel()
+	return who.Team, notRun(p.Limiter.Take(ctx, who.Team, 1))
 }
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// hold reserves memory until the exchange ends.
-func (p *Proxy) hold(x *exchange, n int64) bool {
+// reserve takes memory until the exchange ends.
+func (p *Proxy) reserve(x *exchange, n int64) bool {
 	if !p.keyed.reserve(n, p.cfg.MaxKeyedTotal) {
 		return false
 	}
@@ -96,6 +96,15 @@
 	x.ctx = &x.own
 }
 
+// closeIfUnread makes the response end the caller's connection when a part of
+// the body is still to come. net/http would take the rest for the next request,
+// because it leaves a body alone that is read while the response is written.
+func (x *exchange) closeIfUnread() {
+	if x.body.unread() && x.r.ProtoMajor == 1 {
+		x.w.Header()["Connection"] = []string{"close"}
+	}
+}
+
 // remaining returns the time until the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration {
 	return x.deadline.Sub(now)
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -66,18 +66,26 @@
 	})
 	won := <-results
 	if won.f != nil {
-		won = <-results
-		if won.f != nil {
-			cancel()
-			return nil, won.f
-		}
-		won.a.cancel = cancel
-		return won.a, nil
+		return lastOf(won.f, <-results, cancel)
 	}
 	p.discardLoser(won, first, cancel, results)
 	return won.a, nil
 }
 
+// lastOf returns the result of the attempt that ended after a failed one.
+func lastOf(failed *failure, last finished, cancel context.CancelFunc) (*answer, *failure) {
+	if last.a != nil {
+		last.a.cancel = cancel
+		return last.a, nil
+	}
+	cancel()
+	if last.f.refusal.Outcome == cove.NotRun {
+		// The failed attempt may have run, which says more.
+		return nil, failed
+	}
+	return nil, last.f
+}
+
 // second makes the attempt beside the first one, on a fresh connection.
 func (p *Proxy) second(ctx context.Context, x *exchange) (*answer, *failure) {
 	t, f := p.open(ctx, x, true)
@@ -98,8 +106,8 @@
 		first.upstream.abort()
 	}
 	p.tasks.Go(func(context.Context) error {
-		if superseded := <-results; superseded.a != nil {
-			superseded.a.discard()
+		if loser := <-results; loser.a != nil {
+			loser.a.discard()
 		}
 		return nil
 	})
--- a/internal/route/proxy/refuse.go
+++ b/internal/route/proxy/refuse.go
@@ -44,6 +44,16 @@
 	return unknown(http.StatusBadGateway, cove.ReasonServerFailed, "request failed")
 }
 
+// notRun returns the refusal in err, or one for a request that ended before an
+// attempt.
+func notRun(err error) error {
+	var r *cove.Refusal
+	if err == nil || errors.As(err, &r) {
+		return err
+	}
+	return cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "request ended before it was sent")
+}
+
 func (p *Proxy) writeRefusal(w http.ResponseWriter, id string, r *cove.Refusal) {
 	p.Counters.Add(refusalCounter(r.Reason), 1)
 	writeProblem(w, id, r)
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -93,6 +93,7 @@
 // empty 200 when nothing is written.
 func (p *Proxy) fail(x *exchange, err error) {
 	ref := x.finalRefusal(asRefusal(err))
+	x.closeIfUnread()
 	if x.r.Context().Err() != nil {
 		p.Counters.Add(counterCanceled, 1)
 		writeProblem(x.w, x.callerID, ref)
@@ -176,7 +177,7 @@
 	}
 	var err error
 	if x.principal, err = p.Keys.Authenticate(key, from.addr); err != nil {
-		return err
+		return notRun(err)
 	}
 	x.keyed = true
 	if !onRoute(x.route, x.principal.Team) {
@@ -252,7 +253,7 @@
 	if !x.keyed {
 		return nil
 	}
-	return p.Limiter.Take(x.ctx, x.principal.Team, x.work.Cost)
+	return notRun(p.Limiter.Take(x.ctx, x.principal.Team, x.work.Cost))
 }
 
 // takeBody takes over the caller's body for the attempts.
--- a/internal/route/proxy/stream_test.go
+++ b/internal/route/proxy/stream_test.go
@@ -262,3 +262,41 @@
 		t.Errorf("%v, %v", resp, err)
 	}
 }
+
+// Guards against the rest of a body that is read as the next request, after an
+// answer or a refusal that came before the body's end.
+func TestUnreadBodyIsNoRequest(t *testing.T) {
+	var paths sync.Map
+	_, targets := newServers(t, 1, server.Config{Run: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		paths.Store(r.URL.Path, true)
+		rc := http.NewResponseController(w)
+		_ = rc.EnableFullDuplex()
+		w.Header().Set("Content-Length", "0")
+		w.Header().Set("Connection", "close")
+		defer func() { _ = rc.Flush() }()
+		if r.URL.Path == "/open/refused" {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	inner := "GET /open/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, path := range []string{"/open/early", "/open/refused"} {
+		for _, framing := range []string{"Content-Length: 100000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2000\r\n"} {
+			c := dialRaw(t, h)
+			_, _ = io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: x\r\n"+framing+inner)
+			br := bufio.NewReader(c)
+			if _, err := http.ReadResponse(br, nil); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(c, strings.Repeat(inner, 10))
+			// The connection ends, and nothing else is answered before.
+			if rest, _ := io.ReadAll(br); strings.Contains(string(rest), "HTTP/1.1") {
+				t.Errorf("%s %q: another answer %.300q", path, framing, rest)
+			}
+		}
+	}
+	if _, ok := paths.Load("/open/smuggled"); ok {
+		t.Error("the rest of a body was taken for a request")
+	}
+}
