--- a/internal/bench/server/record.go
+++ b/internal/bench/server/record.go
@@ -80,10 +80,11 @@
 	}
 }
 
-// leaks records each caller key in the request line or header.
+// leaks records each caller key in the request line or header, and whatever an
+// Authorization header holds, since no entry host passes one on.
 func (rec *record) leaks(r *http.Request) {
 	rec.mu.Lock()
-	keys := rec.keys
+	keys := append(r.Header["Authorization"], rec.keys...)
 	rec.mu.Unlock()
 	for _, key := range keys {
 		if !carries(r, key) {
--- a/internal/ops/entry/entry.go
+++ b/internal/ops/entry/entry.go
@@ -65,7 +65,7 @@
 	feed   *feed.Feed
 	keys   *keys.Keys
 	share  *share.Service
-	ledger *once.Service
+	ledger *once.Ledger
 	health *health.Tracker
 	admit  *admit.Admitter
 	proxy  *proxy.Proxy
--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -76,7 +76,7 @@
 	if x.r.ContentLength >= 0 {
 		need = x.r.ContentLength
 	}
-	if !p.hold(x, need) {
+	if !p.reserve(x, need) {
 		return errBusy
 	}
 	data, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
@@ -104,19 +104,19 @@
 	x.ctx = x.ctx.detach()
 	a, err := p.run(x)
 	if err != nil {
-		settled = x.settle(asRefusal(err)).Outcome == cove.NotRun
+		settled = x.finalRefusal(asRefusal(err)).Outcome == cove.NotRun
 		if settled {
 			run.NotRun()
 		}
 		return nil, err
 	}
-	if !a.whole && !p.hold(x, p.cfg.MaxKeyedBytes) {
+	if !a.whole && !p.reserve(x, p.cfg.MaxKeyedBytes) {
 		return a, nil
 	}
 	whole, err := a.readAll(p.cfg.MaxKeyedBytes)
 	if err != nil {
-		f := a.t.broken(err)
-		return nil, f.refusal
+		a.release()
+		return nil, a.t.broken(err).refusal
 	}
 	if whole {
 		settled = true
@@ -138,24 +138,24 @@
 	copyAnswer(h, kept.Header)
 	h[headerReplayed] = []string{"true"}
 	resp := &http.Response{StatusCode: kept.Status, Header: h, Body: http.NoBody, Trailer: kept.Trailer}
-	t := &try{p: p, x: x, ctx: x.ctx, permit: noPermit{}, leg: noLeg{}}
+	t := &attempt{p: p, x: x, ctx: x.ctx, permit: noPermit{}, upstream: noUpstream{}}
 	return &answer{t: t, resp: resp, data: kept.Body, whole: true}
 }
 
-// noPermit and noLeg stand for an answer that needs no attempt.
+// noPermit and noUpstream stand for an answer that needs no attempt.
 type noPermit struct{}
 
 func (noPermit) Target() cove.Target { return cove.Target{} }
 func (noPermit) Sent()               {}
 func (noPermit) Done(cove.Result)    {}
 
-type noLeg struct{}
+type noUpstream struct{}
 
-func (noLeg) send() error                                { return nil }
-func (noLeg) wrote() bool                                { return false }
-func (noLeg) head(time.Duration) (*http.Response, error) { return nil, errNoByte }
-func (noLeg) finish(bool)                                {}
-func (noLeg) abort()                                     {}
+func (noUpstream) send() error                                { return nil }
+func (noUpstream) wrote() bool                                { return false }
+func (noUpstream) head(time.Duration) (*http.Response, error) { return nil, errNoByte }
+func (noUpstream) finish(bool)                                {}
+func (noUpstream) abort()                                     {}
 
 // passToOwner sends a keyed request to the host that owns its key.
 func (p *Proxy) passToOwner(x *exchange, owner cove.HostID) (*answer, error) {
@@ -183,11 +183,11 @@
 		}
 		return nil, errOwner
 	}
-	t := &try{p: p, x: x, ctx: ctx, permit: noPermit{}, target: cove.Target{Host: owner}, begun: p.Clock.Now()}
-	t.leg = &hopLeg{t: t, cancel: cancel, resp: resp}
+	t := &attempt{p: p, x: x, ctx: ctx, permit: noPermit{}, target: cove.Target{Host: owner}, begun: p.Clock.Now()}
+	t.upstream = &hopUpstream{t: t, cancel: cancel, resp: resp}
 	a := newAnswer(t, resp)
 	if err := a.readShort(); err != nil {
-		t.leg.finish(false)
+		t.upstream.finish(false)
 		return nil, errOwner
 	}
 	return a, nil
@@ -235,7 +235,9 @@
 	}
 	who, err := p.Keys.Authenticate(key, callerOf(r).addr)
 	if err != nil {
-		return "", err
+		return "", notRun(err)
 	}
-	return who.Team, p.Limiter.Take(r.Context(), who.Team, 1)
+	ctx, cancel := context.WithTimeout(r.Context(), p.cfg.Deadline)
+	defer cancel()
+	return who.Team, notRun(p.Limiter.Take(ctx, who.Team, 1))
 }
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -38,8 +38,8 @@
 	host   string
 	fields []field
 	body   body
-	// scrub holds the caller's key, to keep it from the backend server.
-	scrub scrubber
+	// filter holds the caller's key, to keep it from the backend server.
+	filter keyFilter
 
 	pools   []cove.PoolWeight
 	work    cove.WorkClass
@@ -70,8 +70,8 @@
 	}
 }
 
-// hold reserves memory until the exchange ends.
-func (p *Proxy) hold(x *exchange, n int64) bool {
+// reserve takes memory until the exchange ends.
+func (p *Proxy) reserve(x *exchange, n int64) bool {
 	if !p.keyed.reserve(n, p.cfg.MaxKeyedTotal) {
 		return false
 	}
@@ -79,9 +79,9 @@
 	return true
 }
 
-// settle corrects the outcome of a final refusal: one attempt that may have run
+// finalRefusal corrects the outcome of a final refusal: one attempt that may have run
 // makes the whole request uncertain.
-func (x *exchange) settle(r *cove.Refusal) *cove.Refusal {
+func (x *exchange) finalRefusal(r *cove.Refusal) *cove.Refusal {
 	if r.Outcome == cove.Unknown || !x.mayHaveRun.Load() {
 		return r
 	}
@@ -96,6 +96,15 @@
 	x.ctx = &x.own
 }
 
+// closeIfUnread makes the response end the caller's connection when a part of
+// the body is still to come. net/http would take the rest for the next request,
+// because it leaves a body alone that is read while the response is written.
+func (x *exchange) closeIfUnread() {
+	if x.body.unread() && x.r.ProtoMajor == 1 {
+		x.w.Header()["Connection"] = []string{"close"}
+	}
+}
+
 // remaining returns the time until the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration {
 	return x.deadline.Sub(now)
