--- a/internal/ops/demo/steps.go
+++ b/internal/ops/demo/steps.go
@@ -163,7 +163,7 @@
 		return err
 	}
 	var body struct {
-		Ticket string `json:"ticket"`
+		Ticket string `json:"key"`
 	}
 	if err := json.Unmarshal([]byte(t.body), &body); err != nil {
 		return errors.Wrap(err, "ticket")
