Charge a new key to its address before it is looked up

Change: a key that was not good before is charged at once; a good key takes the charge back. A key that was good before is not charged.

--- a/internal/state/keys/guard.go
+++ b/internal/state/keys/guard.go
@@ -11,8 +11,10 @@
 const (
 	// guessRate is how many bad keys a second one address may present.
 	guessRate = 1.0
-	// guessBurst is how many it may present at once.
-	guessBurst = 10.0
+	// guessBurst is how many it may present at once. It leaves room for the
+	// first requests of a new caller, which are charged until they are found
+	// good.
+	guessBurst = 64.0
 	// guardShards and guardSets give room for 65,536 addresses of each kind.
 	guardShards = 64
 	guardSets   = 256
@@ -84,36 +86,47 @@
 	}
 }
 
-// allow reports whether a key from the address is to be looked at.
-func (g *guard) allow(addr, mark uint64, now time.Time) bool {
+// allow reports whether a key from the address is to be looked at. A key that
+// was not good before is charged as a bad one at once, which saves the bad key
+// a second visit; good takes the charge back.
+func (g *guard) allow(addr, mark uint64, now time.Time) (ok, charged bool) {
 	s, set := g.shard(addr)
 	s.lock()
 	defer s.mu.Unlock()
 	if e := findKnown(&s.known[set], addr); e != nil {
-		return e.left(now) >= 1 || e.has(mark)
+		if e.has(mark) {
+			e.used = now
+			return true, false
+		}
+		return e.charge(now), true
 	}
 	e := findGuessed(&s.unknown[set], addr)
-	return e == nil || e.left(now) >= 1
+	if e == nil {
+		e = leastDebt(&s.unknown[set])
+		*e = guessed{addr: addr, at: now}
+	}
+	return e.charge(now), true
 }
 
-// bad charges a bad key to the address.
-func (g *guard) bad(addr uint64, now time.Time) {
+// bad charges a key that was good before, for instance a withdrawn one, and
+// forgets it.
+func (g *guard) bad(addr, mark uint64, now time.Time) {
 	s, set := g.shard(addr)
 	s.lock()
 	defer s.mu.Unlock()
-	if e := findKnown(&s.known[set], addr); e != nil {
-		e.charge(now)
-		return
-	}
-	e := findGuessed(&s.unknown[set], addr)
+	e := findKnown(&s.known[set], addr)
 	if e == nil {
-		e = leastDebt(&s.unknown[set], now)
-		*e = guessed{addr: addr, at: now}
+		return
 	}
 	e.charge(now)
+	for i := range e.marks {
+		if e.marks[i] == mark {
+			e.marks[i] = 0
+		}
+	}
 }
 
-// good remembers the address and the key.
+// good remembers the address and the key and takes the charge back.
 func (g *guard) good(addr, mark uint64, now time.Time) {
 	s, set := g.shard(addr)
 	s.lock()
@@ -122,7 +135,11 @@
 	if e == nil {
 		e = leastUsed(&s.known[set])
 		*e = knownAddr{guessed: guessed{addr: addr, at: now}}
+		if old := findGuessed(&s.unknown[set], addr); old != nil {
+			e.guessed, *old = *old, guessed{}
+		}
 	}
+	e.debt = max(0, e.debt-1)
 	e.used = now
 	if !e.has(mark) {
 		e.marks[e.next%marksPerAddress] = mark
@@ -148,11 +165,12 @@
 	return nil
 }
 
-// leastDebt returns the entry whose loss forgives least.
-func leastDebt(set *[guardWays]guessed, now time.Time) *guessed {
+// leastDebt returns the entry whose loss forgives least, without regard to what
+// was paid off since.
+func leastDebt(set *[guardWays]guessed) *guessed {
 	best := &set[0]
 	for i := range set {
-		if set[i].left(now) > best.left(now) {
+		if set[i].debt < best.debt {
 			best = &set[i]
 		}
 	}
@@ -169,15 +187,15 @@
 	return best
 }
 
-// left returns how many more bad keys the address may present.
-func (e *guessed) left(now time.Time) float64 {
-	paid := guessRate * now.Sub(e.at).Seconds()
-	return guessBurst - max(0, e.debt-paid)
-}
-
-func (e *guessed) charge(now time.Time) {
-	e.debt = min(guessBurst, guessBurst-e.left(now)+1)
+// charge adds a bad key, unless the address is at its limit.
+func (e *guessed) charge(now time.Time) bool {
+	e.debt = max(0, e.debt-guessRate*now.Sub(e.at).Seconds())
 	e.at = now
+	if e.debt > guessBurst-1 {
+		return false
+	}
+	e.debt++
+	return true
 }
 
 func (e *knownAddr) has(mark uint64) bool {
--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -105,15 +105,20 @@
 	addr := k.guard.address(from)
 	now := k.clock.Now()
 	mark := k.guard.mark(key)
-	if !k.guard.allow(addr, mark, now) {
+	allowed, charged := k.guard.allow(addr, mark, now)
+	if !allowed {
 		return cove.Principal{}, refuseGuess
 	}
 	e, ok := ix.find(key)
+	switch {
+	case !ok && !charged:
+		k.guard.bad(addr, mark, now)
+	case ok && charged:
+		k.guard.good(addr, mark, now)
+	}
 	if !ok {
-		k.guard.bad(addr, now)
 		return cove.Principal{}, refuseBadKey
 	}
-	k.guard.good(addr, mark, now)
 	return e.principal, nil
 }
 
