Keep leases through the start of a store outage

Change: every renewal carries promises, as one number per host of the row, and a host that runs dry first asks the one that holds what it has lent. Used tickets without an answer take a small stub.

--- a/internal/limit/once/entry.go
+++ b/internal/limit/once/entry.go
@@ -28,6 +28,8 @@
 const (
 	// entryBytes is charged for each entry beside its answer.
 	entryBytes = 512
+	// stubBytes is charged for each stub.
+	stubBytes = 128
 	// maxAnswerBytes bounds a stored answer.
 	maxAnswerBytes = 1 << 20
 )
--- a/internal/limit/once/ledger.go
+++ b/internal/limit/once/ledger.go
@@ -52,8 +52,10 @@
 	bytes   int
 	// ends holds entries in the order in which they ended.
 	ends []ending
-	// stubs holds tickets without their answer, which must stay known.
-	stubs []*entry
+	// stubs holds tickets that ended and whose answer is not kept. They stay
+	// known for as long as they could be presented.
+	stubs     map[digest]struct{}
+	stubOrder []stub
 	queue []*operation
 	// frees holds entries whose row is to be deleted.
 	frees []*entry
@@ -66,6 +68,12 @@
 	at time.Time
 }
 
+// stub is a ticket whose entry was dropped.
+type stub struct {
+	key  digest
+	keep time.Time
+}
+
 var (
 	_ cove.Ledger  = (*Ledger)(nil)
 	_ cove.Service = (*Ledger)(nil)
@@ -78,6 +86,7 @@
 		origin:  cfg.Clock.Now(),
 		nudge:   make(chan struct{}, 1),
 		entries: make(map[digest]*entry),
+		stubs:   make(map[digest]struct{}),
 	}
 	// crypto/rand.Read never returns an error; it aborts the process instead.
 	_, _ = rand.Read(l.secret[:])
@@ -150,6 +159,10 @@
 	now := l.cfg.Clock.Now()
 	l.expire(now)
 	k := keyDigest(req.Team, req.Key)
+	if _, ok := l.stubs[k]; ok {
+		l.cfg.Counters.Add("duplicate_blocked.memory", 1)
+		return cove.Claim{}, nil, l.answerDropped()
+	}
 	e, ok := l.entries[k]
 	switch {
 	case ok && e.state == releasing:
--- a/internal/limit/once/run.go
+++ b/internal/limit/once/run.go
@@ -109,18 +109,12 @@
 // retire drops an entry that has ended. A ticket stays known for as long as it
 // could be presented.
 func (l *Ledger) retire(e *entry, now time.Time) {
+	l.drop(e)
 	if e.ticket && now.Before(e.keep) {
-		l.dropAnswer(e)
-		l.stubs = append(l.stubs, e)
-		return
+		l.stubs[e.key] = struct{}{}
+		l.stubOrder = append(l.stubOrder, stub{key: e.key, keep: e.keep})
+		l.bytes += stubBytes
 	}
-	l.drop(e)
-}
-
-func (l *Ledger) dropAnswer(e *entry) {
-	l.bytes -= e.size - entryBytes
-	e.size = entryBytes
-	e.answer = nil
 }
 
 // expire drops entries after their retention.
@@ -130,8 +124,9 @@
 		l.ends = l.ends[1:]
 		l.retire(e, now)
 	}
-	for len(l.stubs) > 0 && !now.Before(l.stubs[0].keep) {
-		l.drop(l.stubs[0])
-		l.stubs = l.stubs[1:]
+	for len(l.stubOrder) > 0 && !now.Before(l.stubOrder[0].keep) {
+		delete(l.stubs, l.stubOrder[0].key)
+		l.stubOrder = l.stubOrder[1:]
+		l.bytes -= stubBytes
 	}
 }
--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -260,13 +260,33 @@
 	return need, tokens
 }
 
-// candidates returns the hosts to ask next, those of the own failure domain
-// first.
+// debtor returns the host that has borrowed the most from this one.
+func (t *team) debtor() cove.HostID {
+	sums := make(map[cove.HostID]rate.Amount, len(t.out))
+	var most cove.HostID
+	for k, l := range t.out {
+		sums[k.host] += l.quota.Rate
+	}
+	for id, sum := range sums {
+		if most == "" || sum > sums[most] || sum == sums[most] && id < most {
+			most = id
+		}
+	}
+	return most
+}
+
+// candidates returns the hosts to ask next: the one that holds most of what
+// this host has lent, which gives it back if it can, and those of the own
+// failure domain before others.
 func (c *calls) candidates(t *team) []cove.HostID {
 	t.asks.release(c.now)
 	var out []cove.HostID
+	debtor := t.debtor()
+	if debtor != "" && c.mayAsk(t, debtor) {
+		out = append(out, debtor)
+	}
 	for _, id := range c.s.order.near {
-		if len(out) < maxAsked && c.mayAsk(t, id) {
+		if len(out) < maxAsked && id != debtor && c.mayAsk(t, id) {
 			out = append(out, id)
 		}
 	}
--- a/internal/limit/share/lease.go
+++ b/internal/limit/share/lease.go
@@ -96,7 +96,7 @@
 	seen := make(map[owner]observation, len(r.Hosts))
 	for i := range r.Hosts {
 		e := &r.Hosts[i]
-		k := owner{e.ID, e.Incarnation}
+		k := e.owner()
 		o, ok := s.observed[k]
 		if !ok || o.renewal != e.Renewal || o.removed != e.Removed {
 			o = observation{renewal: e.Renewal, removed: e.Removed, since: now}
@@ -114,7 +114,7 @@
 	if self == nil || e.Lapsed || e.Removed || e.ID == self.ID || e.Confirmed < self.Joined {
 		return false
 	}
-	k := owner{e.ID, e.Incarnation}
+	k := e.owner()
 	if now.Before(s.promised[k]) {
 		return false
 	}
@@ -125,7 +125,7 @@
 // purgeable reports whether a host that an operator has removed, and what it
 // lent, can no longer be in use.
 func (s *Service) purgeable(now time.Time, e *entry) bool {
-	o, ok := s.observed[owner{e.ID, e.Incarnation}]
+	o, ok := s.observed[e.owner()]
 	return e.Removed && ok && o.removed && now.Sub(o.since) >= others(leaseTime+loanTime)
 }
 
--- a/internal/limit/share/renew.go
+++ b/internal/limit/share/renew.go
@@ -13,14 +13,10 @@
 
 const (
 	protocol = 1
-	// renewEvery is the time between renewals of a host.
-	renewEvery = 1500 * time.Millisecond
-	// outageRenewEvery is the time between renewals while the store is down.
-	// A promise needs up to three of them, which must fit well into a lease.
-	outageRenewEvery = 750 * time.Millisecond
-	// storeSilence is how long the store may be silent before the host that
-	// renews asks for promises.
-	storeSilence = 2 * time.Second
+	// renewEvery is the time between renewals of a host. A promise of all other
+	// hosts takes up to three of them and the next one follows after another,
+	// which must fit into a lease.
+	renewEvery = time.Second
 	// leaseLow is the rest of a lease at which a host renews the row itself.
 	leaseLow = 2 * time.Second
 )
@@ -33,7 +29,8 @@
 	renewal   uint64
 	plan      uint64
 	confirmed uint64
-	promises  map[owner]uint64
+	// promises are in the order of the hosts of the plan.
+	promises []uint64
 }
 
 // renewStep sends a renewal when it is due.
@@ -74,10 +71,10 @@
 		return "", nil
 	}
 	s.renewDue = now.Add(renewEvery)
-	if len(s.renewals) > 0 {
-		s.renewDue = now.Add(outageRenewEvery)
-	}
 	s.confirmPlan()
+	if s.renewalsPlan != s.row.Plan {
+		s.renewals = nil
+	}
 	req := &peerpb.ShareRenewRequest{
 		Protocol:    protocol,
 		Host:        string(s.cfg.Self.ID),
@@ -107,16 +104,14 @@
 
 // promise promises to take over nothing from these hosts for a lease. It
 // promises nothing while a take-over of its own may take effect.
-func (s *Service) promise(now time.Time, renewals []*peerpb.SharePromise) []*peerpb.SharePromise {
-	if s.taking || s.open != nil {
+func (s *Service) promise(now time.Time, renewals []uint64) []uint64 {
+	if s.taking || s.open != nil || len(renewals) != len(s.row.Hosts) {
 		return nil
 	}
-	for _, p := range renewals {
-		inc, err := decodeIncarnation(p.GetIncarnation())
-		if err != nil {
-			return nil
+	for i, n := range renewals {
+		if n > 0 {
+			s.promised[s.row.Hosts[i].owner()] = now.Add(others(leaseTime))
 		}
-		s.promised[owner{cove.HostID(p.GetHost()), inc}] = now.Add(others(leaseTime))
 	}
 	return renewals
 }
@@ -171,9 +166,7 @@
 		}
 		resp.Row = b
 	}
-	if now.Sub(s.stored) > storeSilence {
-		resp.Renewals = s.openRenewals(from)
-	}
+	resp.Renewals = s.openRenewals(from)
 	return resp
 }
 
@@ -182,23 +175,13 @@
 	if ok && old.inc == inc && old.renewal >= req.GetRenewal() {
 		return
 	}
-	rep := report{
+	s.reports[from] = report{
 		inc:       inc,
 		renewal:   req.GetRenewal(),
 		plan:      req.GetPlan(),
 		confirmed: req.GetConfirmed(),
+		promises:  req.GetPromises(),
 	}
-	for _, p := range req.GetPromises() {
-		pinc, err := decodeIncarnation(p.GetIncarnation())
-		if err != nil {
-			continue
-		}
-		if rep.promises == nil {
-			rep.promises = make(map[owner]uint64, len(req.GetPromises()))
-		}
-		rep.promises[owner{cove.HostID(p.GetHost()), pinc}] = p.GetRenewal()
-	}
-	s.reports[from] = rep
 }
 
 // covered returns the newest renewal of a host for which all other registered
@@ -207,18 +190,18 @@
 	if plan != s.row.Plan || s.row.own(s.cfg.Self.ID, s.cfg.Self.Incarnation) == nil {
 		return 0
 	}
-	k := owner{e.ID, e.Incarnation}
 	n := s.reports[e.ID].renewal
+	at := s.row.index(e.ID)
 	for i := range s.row.Hosts {
 		o := &s.row.Hosts[i]
 		if o.ID == e.ID || o.ID == s.cfg.Self.ID {
 			continue
 		}
 		rep, ok := s.reports[o.ID]
-		if !ok || rep.inc != o.Incarnation || rep.plan != plan {
+		if !ok || rep.inc != o.Incarnation || rep.plan != plan || at >= len(rep.promises) {
 			return 0
 		}
-		n = min(n, rep.promises[k])
+		n = min(n, rep.promises[at])
 	}
 	if n == 0 || e.ID == s.cfg.Self.ID {
 		return n
@@ -226,25 +209,20 @@
 	if s.taking || s.open != nil {
 		return 0
 	}
-	s.promised[k] = now.Add(others(leaseTime))
+	s.promised[e.owner()] = now.Add(others(leaseTime))
 	return n
 }
 
 // openRenewals lists the renewals of the other hosts that the asking host is
-// to promise.
-func (s *Service) openRenewals(from cove.HostID) []*peerpb.SharePromise {
-	var out []*peerpb.SharePromise
+// to promise, in the order of the row.
+func (s *Service) openRenewals(from cove.HostID) []uint64 {
+	out := make([]uint64, len(s.row.Hosts))
 	for i := range s.row.Hosts {
 		e := &s.row.Hosts[i]
 		rep, ok := s.reports[e.ID]
-		if e.ID == from || !ok || rep.inc != e.Incarnation {
-			continue
+		if e.ID != from && ok && rep.inc == e.Incarnation {
+			out[i] = rep.renewal
 		}
-		out = append(out, &peerpb.SharePromise{
-			Host:        string(e.ID),
-			Incarnation: e.Incarnation[:],
-			Renewal:     rep.renewal,
-		})
 	}
 	return out
 }
@@ -266,10 +244,10 @@
 		}
 		s.applyRow(now, r)
 	}
-	s.renewals = resp.GetRenewals()
 	if resp.GetPlan() != s.row.Plan || !s.registered {
 		return
 	}
+	s.renewals, s.renewalsPlan = resp.GetRenewals(), s.row.Plan
 	if cove.HostID(req.GetHost()) == s.cfg.Self.ID && s.renewer() != s.cfg.Self.ID {
 		s.checked(sent)
 	}
--- a/internal/limit/share/row.go
+++ b/internal/limit/share/row.go
@@ -66,13 +66,23 @@
 	return &c
 }
 
-// find returns the entry of a host, or nil.
-func (r *row) find(id cove.HostID) *entry {
+func (e *entry) owner() owner { return owner{e.ID, e.Incarnation} }
+
+// index returns the position of a host, or the number of hosts.
+func (r *row) index(id cove.HostID) int {
 	for i := range r.Hosts {
 		if r.Hosts[i].ID == id {
-			return &r.Hosts[i]
+			return i
 		}
 	}
+	return len(r.Hosts)
+}
+
+// find returns the entry of a host, or nil.
+func (r *row) find(id cove.HostID) *entry {
+	if i := r.index(id); i < len(r.Hosts) {
+		return &r.Hosts[i]
+	}
 	return nil
 }
 
--- a/internal/limit/share/service.go
+++ b/internal/limit/share/service.go
@@ -59,9 +59,11 @@
 	confirmed  uint64
 	lease      lease
 	reports    map[cove.HostID]report
-	renewals   []*peerpb.SharePromise
-	promised   map[owner]time.Time
-	observed   map[owner]observation
+	// renewals are those that the host is asked to promise under a plan.
+	renewals     []uint64
+	renewalsPlan uint64
+	promised     map[owner]time.Time
+	observed     map[owner]observation
 	// taking is set while a transaction that takes a leased part may take
 	// effect; the host promises nothing then.
 	taking bool
@@ -70,9 +72,7 @@
 	// settled is the fraction that share/domains was last seen to hold.
 	settled int64
 	// resumed is when the last long pause of the process was noticed.
-	resumed time.Time
-	// stored is when the store last answered.
-	stored   time.Time
+	resumed  time.Time
 	renewDue time.Time
 	writeDue time.Time
 	order    askOrder
--- a/internal/limit/share/write.go
+++ b/internal/limit/share/write.go
@@ -84,8 +84,7 @@
 	defer s.mu.Unlock()
 	s.taking = false
 	if err == nil {
-		s.stored = s.cfg.Clock.Now()
-		s.applyRow(s.stored, next)
+		s.applyRow(s.cfg.Clock.Now(), next)
 		return nil
 	}
 	if !errors.Is(err, cove.ErrConflict) {
@@ -117,10 +116,8 @@
 	if s.open != nil && got.Revision != s.open.base {
 		s.open = nil
 	}
-	now := s.cfg.Clock.Now()
-	s.stored = now
 	s.revision = got.Revision
-	s.applyRow(now, r)
+	s.applyRow(s.cfg.Clock.Now(), r)
 	s.checked(sent)
 	return r, got.Revision, nil
 }
