Pass HTTP/2 only at the start of a connection; count no unreachable target as work

The guard let everything pass after a line that only starts the preface of HTTP/2, also later on a connection, where net/http goes on with HTTP/1. It now wants the whole preface as the first bytes. A target that cannot be reached puts no work on a backend server, so another choice does not count against the retry budget.

--- a/internal/bench/server/record.go
+++ b/internal/bench/server/record.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -58,7 +59,7 @@
 // leaks records each caller key in the request line or header, and whatever an
 // Authorization header holds, since no entry host passes one on.
 func (rec *record) leaks(r *http.Request, keys []string) {
-	keys = append(r.Header["Authorization"], keys...)
+	keys = slices.Concat(r.Header["Authorization"], keys)
 	for _, key := range keys {
 		if !carries(r, key) {
 			continue
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -20,7 +20,7 @@
 	refusal *cove.Refusal
 	// retry is empty when another attempt cannot help.
 	retry cove.RetryReason
-	// free marks a failure that put no load on a backend server, so that
+	// free marks a failure that put no work on a backend server, so that
 	// another choice does not count against the retry budget.
 	free bool
 	// avoid is a target that the next attempt leaves out.
@@ -204,7 +204,7 @@
 	return &failure{
 		refusal: cove.Refuse(http.StatusServiceUnavailable, reason, "target cannot be reached"),
 		retry:   cove.RetryConnect,
-		free:    t.target.Host != "",
+		free:    true,
 		avoid:   &t.target,
 	}
 }
--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -17,6 +17,11 @@
 // maxGuardLine bounds a header line that spans several reads.
 const maxGuardLine = 256 << 10
 
+// The connection preface of HTTP/2 (RFC 9113, section 3.4) in lines.
+const prefaceStart = "PRI * HTTP/2.0"
+
+var prefaceLines = [...]string{"", "SM", ""}
+
 // guardState is what the next byte of a connection belongs to.
 type guardState uint8
 
@@ -27,6 +32,8 @@
 	guardChunkSize
 	guardChunkData
 	guardTrailer
+	// guardPreface is the rest of the connection preface of HTTP/2.
+	guardPreface
 	// guardRaw passes everything: the connection carries HTTP/2.
 	guardRaw
 	guardEnded
@@ -43,6 +50,10 @@
 	begun bool
 	// left is the rest of the body or chunk, with the chunk's line end.
 	left int64
+	// later is set after the first request line; HTTP/2 starts there or never.
+	later bool
+	// preface is how many of prefaceLines were seen.
+	preface int
 
 	// old is set for versions other than 1.1, in which nothing is chunked.
 	old     bool
@@ -113,6 +124,8 @@
 		return g.takeHeader(line)
 	case guardChunkSize:
 		return g.takeChunkSize(line)
+	case guardPreface:
+		return g.takePreface(line)
 	default:
 		if len(line) == 0 {
 			g.state = guardRequestLine
@@ -126,11 +139,23 @@
 }
 
 func (g *guard) takeRequestLine(line []byte) bool {
-	if string(line) == "PRI * HTTP/2.0" {
+	if string(line) == prefaceStart {
+		g.state = guardPreface
+		return !g.later
+	}
+	*g = guard{state: guardHeader, line: g.line, later: true, old: !bytes.HasSuffix(line, []byte(" HTTP/1.1"))}
+	return true
+}
+
+// takePreface accepts HTTP/2 only with its whole preface, as net/http does.
+func (g *guard) takePreface(line []byte) bool {
+	if string(line) != prefaceLines[g.preface] {
+		return false
+	}
+	g.preface++
+	if g.preface == len(prefaceLines) {
 		g.state = guardRaw
-		return true
 	}
-	*g = guard{state: guardHeader, line: g.line, old: !bytes.HasSuffix(line, []byte(" HTTP/1.1"))}
 	return true
 }
 
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -87,6 +88,7 @@
 		{"answer", []cove.Target{away("b")}, server.None, 200, "", "", "", 1},
 		{"no room, then answer", []cove.Target{away("e"), away("b")}, server.None, 200, "", "", cove.RetryNoRoom, 1},
 		{"unreachable, then answer", []cove.Target{away("d"), away("b")}, server.None, 200, "", "", cove.RetryConnect, 1},
+		{"server down, then answer", []cove.Target{{Server: "down", Addr: netip.MustParseAddrPort("127.0.0.1:1")}, away("b")}, server.None, 200, "", "", cove.RetryConnect, 1},
 		{"no room anywhere", []cove.Target{away("e")}, server.None, 503, "noRoom", "not-run", cove.RetryNoRoom, 0},
 		{"shed", []cove.Target{away("b"), away("e")}, server.Refused, 503, "noRoom", "not-run", cove.RetryNoRoom, 0},
 		{"broken", []cove.Target{away("b"), targets[0]}, server.Broken, 502, "serverFailed", "unknown", "", 1},
@@ -157,6 +159,7 @@
 			t.Errorf("%s: %d", path, w.Code)
 		}
 		call(t, h, "POST", path, "x", hopRoute, "orders").expect(t, 404, "noRoute", "not-run")
+		call(t, h, "POST", "/.cove"+path, "x").expect(t, 404, "noRoute", "not-run")
 	}
 }
 
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -73,7 +73,8 @@
 func New(d Deps, cfg Config) *Proxy {
 	p := &Proxy{Deps: d, cfg: cfg.withDefaults(), own: http.NewServeMux(), tasks: group.New(context.Background())}
 	p.pool.now = d.Clock.Now
-	p.own.HandleFunc("POST /.cove/ticket", p.serveTicket)
+	p.own.HandleFunc("POST "+ownPrefix+"ticket", p.serveTicket)
+	p.own.HandleFunc(ownPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoOwn) })
 	if d.Peers != nil {
 		d.Peers.Handle(forwardPath, http.HandlerFunc(p.serveForward))
 		d.Peers.Handle(ownerPath, http.HandlerFunc(p.serveOwner))
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -30,6 +30,9 @@
 	errBusy     = refuseHost(cove.ReasonHostLimit, "too many requests on this host")
 )
 
+// errNoOwn answers paths below ownPrefix that nothing serves.
+var errNoOwn = cove.Refuse(http.StatusNotFound, cove.ReasonNoRoute, "nothing is served here")
+
 func refuseHost(reason cove.Reason, detail string) *cove.Refusal {
 	r := cove.Refuse(http.StatusServiceUnavailable, reason, detail)
 	r.RetryAfter = retryElsewhere
