Bound the wait for callers that go on sending to a stopping host

With steady arrivals the quiet time never came, and requests in progress were cut at the end of the stop's context. After MaxQuietWait new requests are refused as not-run and those in progress are finished before the listener is closed. Slow attempts that lost to a hedge now count for the p95.

--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -263,7 +263,10 @@
 		return &failure{refusal: unknown(errBodyRead.Status, errBodyRead.Reason, errBodyRead.Detail)}
 	}
 	if t.superseded.Load() {
-		silent := t.p.Clock.Now().Sub(t.begun) >= silence(t.x.state)
+		now := t.p.Clock.Now()
+		silent := now.Sub(t.begun) >= silence(t.x.state)
+		// Without the slow attempts the percentile would sink, and hedges with it.
+		t.x.state.latency.Observe(now, now.Sub(t.begun))
 		t.abandon(cove.Result{Canceled: !silent, Silent: silent})
 		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerSilent, "another attempt was faster")}
 	}
--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -36,6 +36,9 @@
 	// QuietTime is how long no request may arrive before a stopping proxy
 	// refuses new ones.
 	QuietTime time.Duration
+	// MaxQuietWait bounds the wait for the quiet time, for callers that go on
+	// sending to a host that has left.
+	MaxQuietWait time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -49,6 +52,7 @@
 	setDefault(&c.IdleTimeout, 90*time.Second)
 	setDefault(&c.Deadline, 10*time.Second)
 	setDefault(&c.QuietTime, 500*time.Millisecond)
+	setDefault(&c.MaxQuietWait, 5*time.Second)
 	return c
 }
 
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -297,6 +298,8 @@
 		t.Errorf("interrupted: %s", s)
 	}
 
+	checkStopUnderLoad(t)
+
 	_, targets = newServers(t, 1, server.Config{Service: time.Minute})
 	h = newHost(t, "b", nil, Config{}, targets...)
 	new(sync.WaitGroup).Go(func() { _, _ = http.Get(h.url + "/open") })
@@ -311,3 +314,36 @@
 		t.Errorf("event %+v", last)
 	}
 }
+
+// checkStopUnderLoad stops a host whose callers go on sending.
+func checkStopUnderLoad(t *testing.T) {
+	servers, targets := newServers(t, 1, server.Config{Service: 5 * time.Millisecond})
+	h := newHost(t, "c", nil, Config{QuietTime: time.Second, MaxQuietWait: 100 * time.Millisecond}, targets...)
+	var answered, refused atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		client := newClient(t, 1)
+		wg.Go(func() {
+			for {
+				resp, err := client.Post(h.url+"/open", "text/plain", strings.NewReader("x"))
+				if err != nil {
+					// Only a host that has stopped may leave a request without answer.
+					count(&refused, !h.stopping())
+					return
+				}
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				count(&answered, err == nil && resp.StatusCode == 200)
+				count(&refused, resp.StatusCode != 200 && resp.Header.Get(headerOutcome) != "not-run")
+			}
+		})
+	}
+	waitFor(t, "some answers", func() bool { return answered.Load() > 50 })
+	if err := h.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if n := int64(len(servers[0].Runs())); n != answered.Load() || refused.Load() > 0 {
+		t.Errorf("%d requests ran, %d were answered, %d were lost", n, answered.Load(), refused.Load())
+	}
+}
--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -37,14 +37,20 @@
 }
 
 // Stop implements cove.Service. It serves until no request is in progress and
-// none has arrived for the quiet time, then refuses new ones. When ctx ends
-// first, it ends the remaining requests and reports them.
+// none has arrived for the quiet time, or for MaxQuietWait at most. Then it
+// refuses new requests and waits for those in progress. When ctx ends first, it
+// ends the remaining requests and reports them.
 func (p *Proxy) Stop(ctx context.Context) error {
 	p.Leave()
-	quiet := p.waitQuiet(ctx)
+	err := p.waitQuiet(ctx)
 	p.phase.Store(phaseStopping)
-	var err error
-	if quiet != nil || p.server.Shutdown(ctx) != nil {
+	if err == nil {
+		err = p.waitIdle(ctx)
+	}
+	if err == nil {
+		err = p.server.Shutdown(ctx)
+	}
+	if err != nil {
 		err = p.abortRequests()
 	}
 	p.pool.shut()
@@ -56,17 +62,23 @@
 	return err
 }
 
-// waitQuiet returns nil once no request has been in progress and none has
-// arrived for the quiet time.
+// waitQuiet waits until no request has been in progress and none has arrived
+// for the quiet time. Callers that keep sending do not hold it up for longer
+// than MaxQuietWait or half of the time that ctx leaves.
 func (p *Proxy) waitQuiet(ctx context.Context) error {
 	last := p.arrivals.Load()
 	since := p.Clock.Now()
+	limit := p.cfg.MaxQuietWait
+	if d, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(d)/2)
+	}
+	end := since.Add(limit)
 	for {
 		now := p.Clock.Now()
 		if n := p.arrivals.Load(); n != last || p.active.Load() > 0 {
 			last, since = n, now
 		}
-		if now.Sub(since) >= p.cfg.QuietTime {
+		if now.Sub(since) >= p.cfg.QuietTime || !now.Before(end) {
 			return nil
 		}
 		if err := p.Clock.Sleep(ctx, pollEvery); err != nil {
@@ -75,6 +87,16 @@
 	}
 }
 
+// waitIdle waits until no request is in progress.
+func (p *Proxy) waitIdle(ctx context.Context) error {
+	for p.active.Load() > 0 {
+		if err := p.Clock.Sleep(ctx, pollEvery); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // abortRequests ends all connections and reports the requests that were in progress.
 func (p *Proxy) abortRequests() error {
 	total := p.active.Load()
