--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,7 +49,7 @@
 	// headLeft is how many bytes the header of the answer may still have.
 	headLeft int64
 	// wrote is set when a byte of the current request was handed to the kernel.
-	wrote bool
+	wrote atomic.Bool
 	// deadline is of the current exchange.
 	deadline time.Time
 	// closeFunc and peekFunc are made once, so that exchanges need not allocate
@@ -119,14 +120,14 @@
 func (w *connWriter) Write(b []byte) (int, error) {
 	n, err := w.nc.Write(b)
 	if n > 0 || err == nil {
-		w.wrote = true
+		w.wrote.Store(true)
 	}
 	return n, err
 }
 
 // begin prepares the connection for the next exchange.
 func (c *conn) begin(deadline time.Time) error {
-	c.wrote = false
+	c.wrote.Store(false)
 	c.headLeft = maxAnswerHeader
 	c.deadline = deadline
 	return c.nc.SetDeadline(deadline)
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -46,7 +46,7 @@
 	return l.t.ctx
 }
 
-func (l *directUpstream) wrote() bool { return l.c.wrote }
+func (l *directUpstream) wrote() bool { return l.c.wrote.Load() }
 
 func (l *directUpstream) abort() { l.c.close() }
 
