--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -321,8 +321,11 @@
 	h := newHost(t, "c", nil, Config{QuietTime: time.Second, MaxQuietWait: 100 * time.Millisecond}, targets...)
 	var answered, refused atomic.Int64
 	var wg sync.WaitGroup
-	for range 8 {
+	for i := range 8 {
 		client := newClient(t, 1)
+		if i%2 == 0 {
+			client = h2Client(t)
+		}
 		wg.Go(func() {
 			for {
 				resp, err := client.Post(h.url+"/open", "text/plain", strings.NewReader("x"))
