--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -109,7 +109,7 @@
 		Latency:  a.latency,
 		Err:      err,
 		Draining: a.resp.Header[headerDraining] != nil,
-		Bytes:    a.bytes,
+		Bytes:    a.bytes + a.t.x.body.sent(),
 	}
 }
 
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -96,7 +96,7 @@
 	if !f.free && !p.budget.Spend() {
 		return false
 	}
-	p.Counters.Add("retry."+string(f.retry), 1)
+	p.Counters.Add(retryCounter(f.retry), 1)
 	if f.avoid != nil {
 		x.avoid(*f.avoid)
 	}
@@ -240,7 +240,9 @@
 	if resp.Header[headerNotRun] != nil && resp.StatusCode == http.StatusServiceUnavailable {
 		return nil, a.shed()
 	}
-	t.x.state.latency.Observe(t.p.Clock.Now(), a.latency)
+	if !a.retryable {
+		t.x.state.latency.Observe(t.p.Clock.Now(), a.latency)
+	}
 	return a, nil
 }
 
--- a/internal/route/proxy/body.go
+++ b/internal/route/proxy/body.go
@@ -50,6 +50,14 @@
 	return b.stream != nil && !b.stream.whole.Load()
 }
 
+// sent returns how many bytes were passed on.
+func (b *body) sent() int64 {
+	if b.stream != nil {
+		return b.stream.read.Load()
+	}
+	return int64(len(b.data))
+}
+
 // reader returns the body for an attempt, or nil when it is empty.
 func (b *body) reader() io.ReadCloser {
 	if b.stream != nil {
@@ -128,6 +136,7 @@
 	// was read to its end.
 	failed atomic.Bool
 	whole  atomic.Bool
+	read   atomic.Int64
 }
 
 func newStreamBody(w http.ResponseWriter, r *http.Request, max int64) *streamBody {
@@ -151,6 +160,7 @@
 	}
 	n, err := s.r.Body.Read(b)
 	s.left -= int64(n)
+	s.read.Add(int64(n))
 	if s.left < 0 {
 		s.tooLarge.Store(true)
 		n, err = 0, errBodyLimit
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -49,7 +49,6 @@
 	if !p.budget.Spend() {
 		return first.classify(first.upstream.head(0))
 	}
-	p.Counters.Add("retry."+string(reason), 1)
 	x.avoid(first.target)
 	x.tries++
 	ctx, cancel := context.WithCancel(x.ctx)
@@ -60,7 +59,7 @@
 		return nil
 	})
 	p.tasks.Go(func(context.Context) error {
-		a, f := p.second(ctx, x)
+		a, f := p.second(ctx, x, reason)
 		results <- finished{false, a, f}
 		return nil
 	})
@@ -87,11 +86,13 @@
 }
 
 // second makes the attempt beside the first one, on a fresh connection.
-func (p *Proxy) second(ctx context.Context, x *exchange) (*answer, *failure) {
+func (p *Proxy) second(ctx context.Context, x *exchange, reason cove.RetryReason) (*answer, *failure) {
 	t, f := p.open(ctx, x, true)
 	if f != nil {
+		p.budget.Refund()
 		return nil, f
 	}
+	p.Counters.Add(retryCounter(reason), 1)
 	return t.classify(t.upstream.head(0))
 }
 
--- a/internal/route/proxy/refuse.go
+++ b/internal/route/proxy/refuse.go
@@ -28,6 +28,8 @@
 	RequestID string       `json:"requestId,omitempty"`
 }
 
+func retryCounter(r cove.RetryReason) string { return "retry." + string(r) }
+
 func refusalCounter(r cove.Reason) string { return "refusal." + string(r) }
 
 // unknown returns a refusal of a request that may have run.
--- a/internal/route/retry/budget.go
+++ b/internal/route/retry/budget.go
@@ -47,3 +47,8 @@
 		}
 	}
 }
+
+// Refund gives back the price of an extra attempt that was not made.
+func (b *Budget) Refund() {
+	b.earned.Add(unit)
+}
--- a/internal/route/retry/retry_test.go
+++ b/internal/route/retry/retry_test.go
@@ -51,6 +51,9 @@
 	for b.Spend() {
 		n++
 	}
+	if b.Refund(); !b.Spend() || b.Spend() {
+		t.Error("a refund is not worth one attempt")
+	}
 	if n != maxTokens/unit {
 		t.Errorf("%d extra attempts at once, want %d", n, maxTokens/unit)
 	}
