--- a/internal/bench/server/record.go
+++ b/internal/bench/server/record.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -84,7 +85,7 @@
 // Authorization header holds, since no entry host passes one on.
 func (rec *record) leaks(r *http.Request) {
 	rec.mu.Lock()
-	keys := append(r.Header["Authorization"], rec.keys...)
+	keys := slices.Concat(r.Header["Authorization"], rec.keys)
 	rec.mu.Unlock()
 	for _, key := range keys {
 		if !carries(r, key) {
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -20,7 +20,7 @@
 	refusal *cove.Refusal
 	// retry is empty when another attempt cannot help.
 	retry cove.RetryReason
-	// free marks a failure that put no load on a backend server, so that
+	// free marks a failure that put no work on a backend server, so that
 	// another choice does not count against the retry budget.
 	free bool
 	// avoid is a target that the next attempt leaves out.
@@ -96,7 +96,7 @@
 	if !f.free && !p.budget.Spend() {
 		return false
 	}
-	p.Counters.Add("retry."+string(f.retry), 1)
+	p.Counters.Add(retryCounter(f.retry), 1)
 	if f.avoid != nil {
 		x.avoid(*f.avoid)
 	}
@@ -204,7 +204,7 @@
 	return &failure{
 		refusal: cove.Refuse(http.StatusServiceUnavailable, reason, "target cannot be reached"),
 		retry:   cove.RetryConnect,
-		free:    t.target.Host != "",
+		free:    true,
 		avoid:   &t.target,
 	}
 }
@@ -240,7 +240,9 @@
 	if resp.Header[headerNotRun] != nil && resp.StatusCode == http.StatusServiceUnavailable {
 		return nil, a.shed()
 	}
-	t.x.state.latency.Observe(t.p.Clock.Now(), a.latency)
+	if !a.retryable {
+		t.x.state.latency.Observe(t.p.Clock.Now(), a.latency)
+	}
 	return a, nil
 }
 
@@ -263,7 +265,10 @@
 		return &failure{refusal: unknown(errBodyRead.Status, errBodyRead.Reason, errBodyRead.Detail)}
 	}
 	if t.superseded.Load() {
-		silent := t.p.Clock.Now().Sub(t.begun) >= silence(t.x.state)
+		now := t.p.Clock.Now()
+		silent := now.Sub(t.begun) >= silence(t.x.state)
+		// Without the slow attempts the percentile would sink, and hedges with it.
+		t.x.state.latency.Observe(now, now.Sub(t.begun))
 		t.abandon(cove.Result{Canceled: !silent, Silent: silent})
 		return &failure{refusal: unknown(http.StatusBadGateway, cove.ReasonServerSilent, "another attempt was faster")}
 	}
--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -36,6 +36,9 @@
 	// QuietTime is how long no request may arrive before a stopping proxy
 	// refuses new ones.
 	QuietTime time.Duration
+	// MaxQuietWait bounds the wait for the quiet time, for callers that go on
+	// sending to a host that has left.
+	MaxQuietWait time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -43,12 +46,13 @@
 	setDefault(&c.MaxBodyBytes, 64<<20)
 	setDefault(&c.MaxKeyedBytes, 1<<20)
 	setDefault(&c.MaxKeyedTotal, 64<<20)
-	setDefault(&c.MaxConns, 16384)
-	setDefault(&c.MaxRequests, 4096)
+	setDefault(&c.MaxConns, 4096)
+	setDefault(&c.MaxRequests, 2048)
 	setDefault(&c.HeaderTimeout, 5*time.Second)
 	setDefault(&c.IdleTimeout, 90*time.Second)
 	setDefault(&c.Deadline, 10*time.Second)
 	setDefault(&c.QuietTime, 500*time.Millisecond)
+	setDefault(&c.MaxQuietWait, 5*time.Second)
 	return c
 }
 
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +89,7 @@
 		{"answer", []cove.Target{away("b")}, server.None, 200, "", "", "", 1},
 		{"no room, then answer", []cove.Target{away("e"), away("b")}, server.None, 200, "", "", cove.RetryNoRoom, 1},
 		{"unreachable, then answer", []cove.Target{away("d"), away("b")}, server.None, 200, "", "", cove.RetryConnect, 1},
+		{"server down, then answer", []cove.Target{{Server: "down", Addr: netip.MustParseAddrPort("127.0.0.1:1")}, away("b")}, server.None, 200, "", "", cove.RetryConnect, 1},
 		{"no room anywhere", []cove.Target{away("e")}, server.None, 503, "noRoom", "not-run", cove.RetryNoRoom, 0},
 		{"shed", []cove.Target{away("b"), away("e")}, server.Refused, 503, "noRoom", "not-run", cove.RetryNoRoom, 0},
 		{"broken", []cove.Target{away("b"), targets[0]}, server.Broken, 502, "serverFailed", "unknown", "", 1},
@@ -157,6 +160,7 @@
 			t.Errorf("%s: %d", path, w.Code)
 		}
 		call(t, h, "POST", path, "x", hopRoute, "orders").expect(t, 404, "noRoute", "not-run")
+		call(t, h, "POST", "/.cove"+path, "x").expect(t, 404, "noRoute", "not-run")
 	}
 }
 
@@ -294,6 +298,8 @@
 		t.Errorf("interrupted: %s", s)
 	}
 
+	checkStopUnderLoad(t)
+
 	_, targets = newServers(t, 1, server.Config{Service: time.Minute})
 	h = newHost(t, "b", nil, Config{}, targets...)
 	new(sync.WaitGroup).Go(func() { _, _ = http.Get(h.url + "/open") })
@@ -308,3 +314,39 @@
 		t.Errorf("event %+v", last)
 	}
 }
+
+// checkStopUnderLoad stops a host whose callers go on sending.
+func checkStopUnderLoad(t *testing.T) {
+	servers, targets := newServers(t, 1, server.Config{Service: 5 * time.Millisecond})
+	h := newHost(t, "c", nil, Config{QuietTime: time.Second, MaxQuietWait: 100 * time.Millisecond}, targets...)
+	var answered, refused atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 8 {
+		client := newClient(t, 1)
+		if i%2 == 0 {
+			client = h2Client(t)
+		}
+		wg.Go(func() {
+			for {
+				resp, err := client.Post(h.url+"/open", "text/plain", strings.NewReader("x"))
+				if err != nil {
+					// Only a host that has stopped may leave a request without answer.
+					count(&refused, !h.stopping())
+					return
+				}
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				count(&answered, err == nil && resp.StatusCode == 200)
+				count(&refused, resp.StatusCode != 200 && resp.Header.Get(headerOutcome) != "not-run")
+			}
+		})
+	}
+	waitFor(t, "some answers", func() bool { return answered.Load() > 50 })
+	if err := h.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if n := int64(len(servers[0].Runs())); n != answered.Load() || refused.Load() > 0 {
+		t.Errorf("%d requests ran, %d were answered, %d were lost", n, answered.Load(), refused.Load())
+	}
+}
