--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -17,7 +17,7 @@
 const (
 	// followWait is how long a parent holds a request. Three levels of it and
 	// the interval of verifications stay under the freshness limit of 5 s.
-	followWait = 900 * time.Millisecond
+	followWait = 600 * time.Millisecond
 	// callTimeout bounds an exchange beyond the time it is held.
 	callTimeout = time.Second
 	// fetchTimeout bounds the transfer of deltas or a snapshot.
