Follow fresh hosts when a domain cannot reach the platform

Cause: a source that answered but was itself stale was followed for ever, so a domain without the platform became stale although others were fresh. Changes that raced on one host took an overtaken verification for an older store.

Change: a source that leaves a host stale counts as a failure; the first hosts of a domain go on to those of other domains, beginning with a different one in each domain. A verification compares the head with the version known before it. A notification goes to the second host of a domain when the first fails.

--- a/internal/state/feed/apply.go
+++ b/internal/state/feed/apply.go
@@ -18,6 +18,12 @@
 	settlePause = 200 * time.Millisecond
 	// settleLimit bounds the search for the result.
 	settleLimit = 5 * time.Second
+	// latestAttempts bounds how often a change looks for the newest version
+	// while others are committed.
+	latestAttempts = 20
+	// conflictAttempts bounds how often a change that met a conflict asks for
+	// the difference.
+	conflictAttempts = 10
 	// updateAttempts bounds how often Update starts again after a conflict.
 	updateAttempts = 50
 )
@@ -140,18 +146,26 @@
 	return Result{}, errors.WithMessagef(err, "after %d attempts", updateAttempts)
 }
 
-// latest brings this host to the store's head and returns its revision.
+// latest brings this host to the store's head and returns its revision. It
+// looks again when another change overtakes it.
 func (f *Feed) latest(ctx context.Context) (uint64, state, error) {
-	view, err := f.verify(ctx)
-	if err != nil {
-		return 0, state{}, err
-	}
-	cur := f.current()
-	if view.health != healthOK || view.head.Version != cur.version() {
-		return 0, cur, errors.Wrapf(ErrStore, "the store is %s at version %d, version %d is in force",
-			view.health, view.head.Version, cur.version())
+	var view storeView
+	var cur state
+	for range latestAttempts {
+		var err error
+		if view, err = f.verify(ctx); err != nil {
+			return 0, state{}, err
+		}
+		cur = f.current()
+		if view.health != healthOK {
+			break
+		}
+		if view.head.Version == cur.version() {
+			return view.revision, cur, nil
+		}
 	}
-	return view.revision, cur, nil
+	return 0, cur, errors.Wrapf(ErrStore, "the store is %s at version %d, version %d is in force",
+		view.health, view.head.Version, cur.version())
 }
 
 func (f *Feed) newEntry(cur state, changes *table.Changes, meta Meta) (entry, error) {
@@ -236,9 +250,14 @@
 	if f.current().version() > base {
 		return f.conflict(ctx, base)
 	}
-	_, cur, latestErr := f.latest(ctx)
-	if latestErr == nil && cur.version() == base {
-		return errors.Wrap(ErrStore, "a delta after the head exists")
+	for range conflictAttempts {
+		_, cur, latestErr := f.latest(ctx)
+		switch {
+		case latestErr == nil && cur.version() == base:
+			return errors.Wrap(ErrStore, "a delta after the head exists")
+		case f.current().version() > base || f.Clock.Sleep(ctx, settlePause) != nil:
+			return f.conflict(ctx, base)
+		}
 	}
 	return f.conflict(ctx, base)
 }
--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -28,6 +28,9 @@
 	// rootFollowAge is the age of the last synchronisation after which the
 	// first host of a domain follows others.
 	rootFollowAge = 1500 * time.Millisecond
+	// sourceAge is the age after which another host follows another source. It
+	// is above the age that is normal three levels below the root.
+	sourceAge = 3500 * time.Millisecond
 	// clockError is the share by which clocks of two hosts may run apart.
 	clockError = 0.02
 	// protocolVersion of the messages.
@@ -36,7 +39,10 @@
 	chainPrefix = 8
 )
 
-var errNoSource = errors.New("no host to follow")
+var (
+	errNoSource    = errors.New("no host to follow")
+	errStaleSource = errors.New("the host to follow is not fresh")
+)
 
 func (f *Feed) followLoop(ctx context.Context) error {
 	for {
@@ -49,35 +55,53 @@
 	}
 }
 
-// followOnce makes one request to the host that this one follows.
+// followOnce makes one request to the host that this one follows. A source that
+// leaves this host stale counts as a failure, so that the next one is tried, and
+// is not asked to hold the request.
 func (f *Feed) followOnce(ctx context.Context, wait time.Duration) error {
-	source, err := f.source()
-	if err != nil {
-		return err
+	t := f.tree()
+	hosts := t.sources()
+	limit := sourceAge
+	if t.rank == 0 {
+		limit = rootFollowAge
 	}
-	err = f.followHost(ctx, source, wait)
+	stale := f.age() > limit
+	if len(hosts) == 0 || t.rank == 0 && !stale {
+		return errNoSource
+	}
+	if stale {
+		wait = 0
+	}
+	err := f.followHost(ctx, hosts[f.missed()%len(hosts)], wait)
+	if err == nil && f.age() > limit {
+		err = errStaleSource
+	}
+	f.followed(err)
+	return err
+}
+
+// age returns the time since this host was fresh.
+func (f *Feed) age() time.Duration {
+	return f.Clock.Now().Sub(f.FreshAt())
+}
+
+// missed returns the number of failed attempts since the last success.
+func (f *Feed) missed() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err != nil {
-		f.misses++
-		f.count("followFailed")
-		return err
-	}
-	f.misses = 0
-	return nil
+	return f.misses
 }
 
-// source returns the host to follow: the next one in order after each failure.
-func (f *Feed) source() (cove.HostID, error) {
-	t := f.tree()
-	hosts := t.sources()
+// followed notes the result of an attempt.
+func (f *Feed) followed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	synced := t.rank == 0 && f.Clock.Now().Sub(f.fresh) < rootFollowAge
-	if synced || len(hosts) == 0 {
-		return "", errNoSource
+	if err == nil {
+		f.misses = 0
+		return
 	}
-	return hosts[f.misses%len(hosts)], nil
+	f.misses++
+	f.count("followFailed")
 }
 
 func (f *Feed) followHost(ctx context.Context, id cove.HostID, wait time.Duration) error {
--- a/internal/state/feed/notify.go
+++ b/internal/state/feed/notify.go
@@ -16,6 +16,8 @@
 const (
 	// notifyTimeout bounds one notification.
 	notifyTimeout = time.Second
+	// notifyRanks is how many hosts of a domain are tried.
+	notifyRanks = 2
 	// confirmWait is how long Confirm leaves it to the heartbeats to report
 	// the version before it asks hosts directly.
 	confirmWait = time.Second
@@ -25,24 +27,30 @@
 	confirmParallel = 16
 )
 
-// notifyAll tells the first host of each failure domain of a committed version.
-// It does not wait for the answers.
+// notifyAll tells one host of each failure domain of a committed version. It
+// does not wait for the answers.
 func (f *Feed) notifyAll(ctx context.Context, e entry) {
 	t := f.tree()
-	hosts := t.firsts
+	groups := t.others
 	if t.rank > 0 {
-		hosts = append(slices.Clone(hosts), t.domain[0])
+		groups = append(slices.Clone(groups), t.domain[:1])
 	}
 	req := &peerpb.NotifyRequest{Sender: f.sender(), Version: uint64(e.version)}
 	if len(e.data) <= inlineBytes {
 		req.Delta = deltasOf([]entry{e})[0]
 	}
+	for _, hosts := range groups {
+		f.background(ctx, func(ctx context.Context) { f.notifyOne(ctx, hosts, req) })
+	}
+}
+
+// notifyOne notifies the first of the hosts that answers.
+func (f *Feed) notifyOne(ctx context.Context, hosts []cove.HostID, req *peerpb.NotifyRequest) {
 	for _, id := range hosts {
-		f.background(ctx, func(ctx context.Context) {
-			if err := f.notify(ctx, id, req); err != nil {
-				f.count("notifyFailed")
-			}
-		})
+		if f.notify(ctx, id, req) == nil {
+			return
+		}
+		f.count("notifyFailed")
 	}
 }
 
--- a/internal/state/feed/reader.go
+++ b/internal/state/feed/reader.go
@@ -162,7 +162,7 @@
 // verify finds the condition of config/head with a commit that only checks its
 // revision, and takes over a newer version. It returns the view of the store.
 func (f *Feed) verify(ctx context.Context) (storeView, error) {
-	start := f.Clock.Now()
+	start, have := f.Clock.Now(), f.current().version()
 	view := f.view()
 	check := cove.Write{Key: headKey, IfRevision: view.revision, Check: true}
 	err := f.Rows.Commit(ctx, f.token(), []cove.Write{check})
@@ -180,7 +180,7 @@
 	if view.health == "" || view.health == healthUnreachable {
 		view.health = healthOK
 	}
-	f.judge(ctx, &view)
+	f.judge(ctx, &view, have)
 	f.record(ctx, view, start)
 	return view, nil
 }
@@ -197,8 +197,9 @@
 	return head, healthOK
 }
 
-// judge compares the head with the version in force and catches up.
-func (f *Feed) judge(ctx context.Context, view *storeView) {
+// judge compares the head with the version that this host had before it asked,
+// and catches up. A version that came in since may be above the head.
+func (f *Feed) judge(ctx context.Context, view *storeView, have cove.Version) {
 	if view.health == healthDamaged {
 		return
 	}
@@ -217,7 +218,7 @@
 		view.health = healthUnreachable
 	case view.head.Version == cur.version() && view.head.Chain != cur.chain:
 		view.health = healthForked
-	case view.head.Version == cur.version():
+	case view.head.Version >= have:
 		view.health = healthOK
 	case view.head.Version == 0:
 		view.health = healthEmpty
--- a/internal/state/feed/tree.go
+++ b/internal/state/feed/tree.go
@@ -18,28 +18,29 @@
 	rank int
 	// domain holds the live hosts of the domain in order, with this one.
 	domain []cove.HostID
-	// firsts holds the first live hosts of the other domains.
-	firsts []cove.HostID
+	// others holds the first live hosts of each other domain, in order, at
+	// most notifyRanks of each. The domains begin after the own one, so that
+	// hosts of different domains begin with different ones.
+	others [][]cove.HostID
 }
 
 func (f *Feed) tree() tree {
-	t := tree{domain: []cove.HostID{f.Self.ID}}
-	others := make(map[cove.Domain]cove.HostID)
+	byDomain := make(map[cove.Domain][]cove.HostID)
 	for _, m := range f.Members.Snapshot() {
-		switch {
-		case m.ID == f.Self.ID || m.State != cove.HostLive:
-		case m.Domain == f.Self.Domain:
-			t.domain = append(t.domain, m.ID)
-		default:
-			if first, ok := others[m.Domain]; !ok || m.ID < first {
-				others[m.Domain] = m.ID
-			}
+		if m.ID != f.Self.ID && m.State == cove.HostLive {
+			byDomain[m.Domain] = append(byDomain[m.Domain], m.ID)
 		}
 	}
+	t := tree{domain: append(byDomain[f.Self.Domain], f.Self.ID)}
 	slices.Sort(t.domain)
 	t.rank = slices.Index(t.domain, f.Self.ID)
-	for _, d := range sortedKeys(others) {
-		t.firsts = append(t.firsts, others[d])
+	delete(byDomain, f.Self.Domain)
+	names := sortedKeys(byDomain)
+	after, _ := slices.BinarySearch(names, f.Self.Domain)
+	for _, d := range slices.Concat(names[after:], names[:after]) {
+		hosts := byDomain[d]
+		slices.Sort(hosts)
+		t.others = append(t.others, hosts[:min(len(hosts), notifyRanks)])
 	}
 	return t
 }
@@ -54,8 +55,9 @@
 }
 
 // sources returns the hosts that this one may follow, best first: its parent
-// and the hosts above it, the next hosts of the domain, and the first hosts of
-// other domains, beginning at a different one for each domain.
+// and the hosts above it, the next hosts of the domain, and first hosts of
+// other domains. Only the first hosts of a domain follow any other domain, so
+// that a domain without the platform does not load all the others.
 func (t tree) sources() []cove.HostID {
 	var out []cove.HostID
 	for r := t.rank; r > 0; {
@@ -67,7 +69,16 @@
 			out = append(out, id)
 		}
 	}
-	return append(out, t.firsts...)
+	if len(t.others) == 0 {
+		return out
+	}
+	if t.rank > standbyRanks {
+		return append(out, t.others[t.rank%len(t.others)][0])
+	}
+	for _, hosts := range t.others {
+		out = append(out, hosts[0])
+	}
+	return out
 }
 
 // learnDomains remembers the failure domains that have had hosts. A domain
--- a/internal/state/feed/withdraw_test.go
+++ b/internal/state/feed/withdraw_test.go
@@ -211,6 +211,38 @@
 	}
 }
 
+// TestDomainWithoutPlatform guards against hosts that become stale, or miss a
+// change, when their domain cannot reach the platform but other domains can.
+func TestDomainWithoutPlatform(t *testing.T) {
+	fl := newFleet(1)
+	if err := fl.Apply(0, rateTable(nil, 1), "first"); err != nil {
+		t.Fatal(err)
+	}
+	for range 8 {
+		fl.round()
+	}
+	for _, h := range fl.hosts[:perDom] {
+		h.storeCut = true
+	}
+	for range 80 {
+		fl.round()
+		for _, h := range fl.hosts {
+			if !h.keys.Fresh() {
+				t.Fatalf("host %d is stale", h.n)
+			}
+		}
+	}
+	if err := fl.Apply(perDom, rateTable(fl.Current(perDom), 2), "second"); err != nil {
+		t.Fatal(err)
+	}
+	for range 4 {
+		fl.round()
+	}
+	if c := fl.hosts[0].feed.Confirm(context.Background(), 2); len(c.Missing) > 0 || len(c.Confirmed) != len(fl.hosts) {
+		t.Errorf("after 1 s: %+v", c)
+	}
+}
+
 // TestStoreLoss guards against hosts that give up their tables when the store is
 // emptied, taken back or damaged, and against changes on top of such a store.
 func TestStoreLoss(t *testing.T) {
