--- a/internal/bench/platf/handler.go
+++ b/internal/bench/platf/handler.go
@@ -59,6 +59,9 @@
 	mux.HandleFunc("GET /v1/hosts", p.serveHosts)
 	mux.HandleFunc("PUT /v1/hosts", p.servePutHost)
 	mux.HandleFunc("DELETE /v1/hosts", p.serveDeleteHost)
+	mux.HandleFunc("GET /v1/faults", p.serveFaults)
+	mux.HandleFunc("PUT /v1/faults", p.servePutFaults)
+	mux.HandleFunc("GET /v1/counts", p.serveCounts)
 	return mux
 }
 
@@ -161,6 +164,23 @@
 	answer(w, nil, nil)
 }
 
+func (p *Platform) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	answer(w, p.Faults(), nil)
+}
+
+func (p *Platform) servePutFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !decode(w, r, &f) {
+		return
+	}
+	p.SetFaults(f)
+	answer(w, nil, nil)
+}
+
+func (p *Platform) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	answer(w, p.Counts(), nil)
+}
+
 func decode(w http.ResponseWriter, r *http.Request, v any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes)).Decode(v)
 	if err != nil {
--- a/internal/bench/platf/platform.go
+++ b/internal/bench/platf/platform.go
@@ -19,6 +19,12 @@
 //	PUT    /v1/hosts  cove.ListedHost  204
 //	DELETE /v1/hosts?id=I  204
 //
+// Only the stand-in has these, for tests and measurements:
+//
+//	GET    /v1/faults  200 Faults, with durations in nanoseconds
+//	PUT    /v1/faults  Faults  204
+//	GET    /v1/counts  200 Counts
+//
 // A commit applies all its writes or none. Its token is used up by the first
 // commit that passes its conditions; a later commit with the same token writes
 // nothing and answers whether the first one applied. A commit without writes
@@ -64,7 +70,15 @@
 
 // Counts are the operations since the start.
 type Counts struct {
-	Reads, Commits, Conflicts, ObjectReads, ObjectWrites, Refused, Lost int64
+	Reads        int64 `json:"reads"`
+	Commits      int64 `json:"commits"`
+	Conflicts    int64 `json:"conflicts"`
+	ObjectReads  int64 `json:"objectReads"`
+	ObjectWrites int64 `json:"objectWrites"`
+	// Refused operations were over a limit.
+	Refused int64 `json:"refused"`
+	// Lost answers are those of writes that took effect.
+	Lost int64 `json:"lost"`
 }
 
 // Platform holds the state of all three services.
--- a/internal/state/feed/export_test.go
+++ b/internal/state/feed/export_test.go
@@ -1,6 +1,11 @@
 package feed
 
-import "context"
+import (
+	"context"
+	"strings"
+
+	"turmericcove.org/cove"
+)
 
 // Round runs one round of the host's tasks in the caller's goroutine.
 func (f *Feed) Round(ctx context.Context) {
@@ -16,3 +21,15 @@
 
 // Maintain runs one round of maintenance.
 func (f *Feed) Maintain(ctx context.Context) error { return f.maintainOnce(ctx) }
+
+// ParseStored reads data as every kind of row and note.
+func ParseStored(data []byte) {
+	_, _ = parseNote(data)
+	_, _ = parseHead(cove.Row{Value: data})
+	_, _ = parseVersionKey(deltaPrefix, string(data))
+	f := new(Feed)
+	// The key has a version; a row that names an object has none to read.
+	if !strings.Contains(strings.ToLower(string(data)), "object") {
+		_, _ = f.entryOf(context.Background(), cove.Row{Key: deltaKey(1), Value: data})
+	}
+}
--- a/internal/state/feed/maintain.go
+++ b/internal/state/feed/maintain.go
@@ -74,31 +74,40 @@
 	return rank
 }
 
+// writeSnapshot stores the version in force and names it in config/snapshot.
 func (f *Feed) writeSnapshot(ctx context.Context, cur state, revision uint64) (snapshotRow, error) {
-	if cur.format > table.Format {
-		return snapshotRow{}, errNewerFormat
-	}
-	data, err := table.EncodeSnapshot(cur.table, cur.chain)
+	row, err := f.putSnapshot(ctx, cur)
 	if err != nil {
 		return snapshotRow{}, err
 	}
-	token := f.token()
-	row := snapshotRow{Version: cur.version(), Object: snapshotPrefix + versionKey(cur.version()) + "-" + token}
-	if err := f.Objects.PutObject(ctx, row.Object, data); err != nil {
-		return snapshotRow{}, errors.Wrap(err, "put snapshot")
-	}
 	value, err := json.Marshal(row)
 	if err != nil {
 		return snapshotRow{}, errors.Wrap(err, "encode snapshot row")
 	}
 	write := cove.Write{Key: snapshotKey, IfRevision: revision, Value: value}
-	if err := f.Rows.Commit(ctx, token, []cove.Write{write}); err != nil {
+	if err := f.Rows.Commit(ctx, f.token(), []cove.Write{write}); err != nil {
 		return snapshotRow{}, errors.Wrap(err, "commit snapshot row")
 	}
 	f.count("snapshots")
 	return row, nil
 }
 
+// putSnapshot stores the version in force as an object with a name of its own.
+func (f *Feed) putSnapshot(ctx context.Context, cur state) (snapshotRow, error) {
+	if cur.format > table.Format {
+		return snapshotRow{}, errNewerFormat
+	}
+	data, err := table.EncodeSnapshot(cur.table, cur.chain)
+	if err != nil {
+		return snapshotRow{}, err
+	}
+	row := snapshotRow{
+		Version: cur.version(),
+		Object:  snapshotPrefix + versionKey(cur.version()) + "-" + f.token(),
+	}
+	return row, errors.Wrap(f.Objects.PutObject(ctx, row.Object, data), "put snapshot")
+}
+
 // clean deletes the deltas and snapshots that nobody needs any more.
 func (f *Feed) clean(ctx context.Context, newest snapshotRow) error {
 	if newest.Version > historyVersions {
--- a/internal/state/feed/race_test.go
+++ b/internal/state/feed/race_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
 	"testing"
 
@@ -112,3 +113,39 @@
 		t.Errorf("got %v and table %v, want faults", err, fl.Current(0))
 	}
 }
+
+// TestLargeChange guards against a change that is too large for a row or for an
+// inline message and does not reach every host.
+func TestLargeChange(t *testing.T) {
+	const blocks = 20_000
+	fl := newFleet(1)
+	next := rateTable(nil, 1)
+	next.Sites = []cove.SiteRow{{Name: "s0", Domain: domainName(0)}, {Name: "s1", Domain: domainName(1)}}
+	for i := range blocks {
+		addr := netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), byte(i * i)})
+		next.Blocks = append(next.Blocks, cove.Block{Prefix: netip.PrefixFrom(addr, 32), Site: next.Sites[i%7%2].Name})
+	}
+	if err := fl.Apply(4, next, "a"); err != nil {
+		t.Fatal(err)
+	}
+	if names, err := fl.plat.ListObjects(context.Background(), "config/bulk/"); err != nil || len(names) != 1 {
+		t.Errorf("objects %v, %v", names, err)
+	}
+	for range 4 {
+		fl.round()
+	}
+	fl.hosts[0].start()
+	for n := range fl.hosts {
+		if got := fl.Current(n); got == nil || len(got.Blocks) != blocks {
+			t.Errorf("host %d does not have the table", n)
+		}
+	}
+}
+
+// FuzzStored guards against a row or a note that crashes a host.
+func FuzzStored(f *testing.F) {
+	f.Add([]byte(`{"version":3,"chain":"00"}`))
+	f.Add([]byte(`{"data":"AAAA"}`))
+	f.Add([]byte{0x80, 0x01, 0x01})
+	f.Fuzz(func(_ *testing.T, data []byte) { feed.ParseStored(data) })
+}
--- a/internal/state/feed/withdraw_test.go
+++ b/internal/state/feed/withdraw_test.go
@@ -244,7 +244,8 @@
 }
 
 // TestStoreLoss guards against hosts that give up their tables when the store is
-// emptied, taken back or damaged, and against changes on top of such a store.
+// emptied, taken back or damaged, against changes on top of such a store, and against a
+// store that cannot be repaired.
 func TestStoreLoss(t *testing.T) {
 	for name, lose := range map[string]func(p *platf.Platform){
 		"empty":   func(p *platf.Platform) { p.Wipe() },
@@ -277,6 +278,19 @@
 			if !errors.Is(err, feed.ErrStore) {
 				t.Errorf("apply: got %v, want ErrStore", err)
 			}
+			if err := fl.hosts[3].feed.Repair(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			if err := fl.Apply(0, rateTable(fl.Current(0), 9), "c"); err != nil {
+				t.Errorf("apply after the repair: %v", err)
+			}
+			fl.hosts[8].start()
+			for range 4 {
+				fl.round()
+			}
+			if c := fl.hosts[0].feed.InForce(6); len(c.Missing) > 0 {
+				t.Errorf("after the repair: %+v", c)
+			}
 		})
 	}
 }
