--- a/internal/state/feed/spread_test.go
+++ b/internal/state/feed/spread_test.go
@@ -135,9 +135,9 @@
 // the traffic of an idle host. It is no test, because its figures depend on the
 // load of the machine.
 func BenchmarkSpread(b *testing.B) {
-	for _, perDomain := range []int{3, 9, 28} {
-		b.Run(fmt.Sprintf("domains=6/hosts=%d", 6*perDomain), func(b *testing.B) {
-			nodes := startNodes(b, 6, perDomain)
+	for _, size := range []struct{ domains, perDomain int }{{6, 3}, {6, 28}, {21, 28}} {
+		b.Run(fmt.Sprintf("hosts=%d", size.domains*size.perDomain), func(b *testing.B) {
+			nodes := startNodes(b, size.domains, size.perDomain)
 			var took []time.Duration
 			arrived := make(chan time.Duration, len(nodes))
 			var start time.Time
