--- a/internal/state/feed/withdraw_test.go
+++ b/internal/state/feed/withdraw_test.go
@@ -211,8 +211,41 @@
 	}
 }
 
+// TestDomainWithoutPlatform guards against hosts that become stale, or miss a
+// change, when their domain cannot reach the platform but other domains can.
+func TestDomainWithoutPlatform(t *testing.T) {
+	fl := newFleet(1)
+	if err := fl.Apply(0, rateTable(nil, 1), "first"); err != nil {
+		t.Fatal(err)
+	}
+	for range 8 {
+		fl.round()
+	}
+	for _, h := range fl.hosts[:perDom] {
+		h.storeCut = true
+	}
+	for range 80 {
+		fl.round()
+		for _, h := range fl.hosts {
+			if !h.keys.Fresh() {
+				t.Fatalf("host %d is stale", h.n)
+			}
+		}
+	}
+	if err := fl.Apply(perDom, rateTable(fl.Current(perDom), 2), "second"); err != nil {
+		t.Fatal(err)
+	}
+	for range 4 {
+		fl.round()
+	}
+	if c := fl.hosts[0].feed.Confirm(context.Background(), 2); len(c.Missing) > 0 || len(c.Confirmed) != len(fl.hosts) {
+		t.Errorf("after 1 s: %+v", c)
+	}
+}
+
 // TestStoreLoss guards against hosts that give up their tables when the store is
-// emptied, taken back or damaged, and against changes on top of such a store.
+// emptied, taken back or damaged, against changes on top of such a store, and against a
+// store that cannot be repaired.
 func TestStoreLoss(t *testing.T) {
 	for name, lose := range map[string]func(p *platf.Platform){
 		"empty":   func(p *platf.Platform) { p.Wipe() },
@@ -245,6 +278,19 @@
 			if !errors.Is(err, feed.ErrStore) {
 				t.Errorf("apply: got %v, want ErrStore", err)
 			}
+			if err := fl.hosts[3].feed.Repair(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			if err := fl.Apply(0, rateTable(fl.Current(0), 9), "c"); err != nil {
+				t.Errorf("apply after the repair: %v", err)
+			}
+			fl.hosts[8].start()
+			for range 4 {
+				fl.round()
+			}
+			if c := fl.hosts[0].feed.InForce(6); len(c.Missing) > 0 {
+				t.Errorf("after the repair: %+v", c)
+			}
 		})
 	}
 }
