Retry claims without those that met a conflict

Cause: a repeat at another host held up all other claims of its batch; with 10% repeats only 44% of the claims were decided in their batch. Change: the others are written again at once, three attempts at most; a rejected attempt writes nothing.

--- a/internal/limit/once/claim.go
+++ b/internal/limit/once/claim.go
@@ -17,6 +17,9 @@
 const (
 	// batchEvery is the time between two transactions of a host.
 	batchEvery = 150 * time.Millisecond
+	// maxAttempts bounds the attempts of one batch. An attempt that meets a
+	// conflict writes nothing.
+	maxAttempts = 3
 	// maxBatch bounds the rows of a transaction.
 	maxBatch = 256
 	// commitTime bounds the wait for an answer of the store.
@@ -138,16 +141,29 @@
 	}
 }
 
-// flush writes one transaction. It reports whether there was or will be
+// flush writes at most one transaction. It reports whether there was or will be
 // something to write.
 func (l *Ledger) flush(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, commitTime)
 	defer cancel()
-	if batch := l.nextBatch(); len(batch) > 0 {
-		l.commit(ctx, batch)
-		return true
+	batch := l.nextBatch()
+	if len(batch) == 0 {
+		return l.release(ctx)
+	}
+	for range maxAttempts {
+		if batch = l.commit(ctx, batch); len(batch) == 0 {
+			return true
+		}
 	}
-	return l.release(ctx)
+	l.requeue(batch)
+	return true
+}
+
+// requeue puts claims before later ones.
+func (l *Ledger) requeue(batch []*operation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue = append(batch, l.queue...)
 }
 
 func (l *Ledger) nextBatch() []*operation {
@@ -169,27 +185,32 @@
 	return batch
 }
 
-func (l *Ledger) commit(ctx context.Context, batch []*operation) {
+// commit writes claims in one transaction. If some of them meet another row,
+// nothing is written, and the others are returned.
+func (l *Ledger) commit(ctx context.Context, batch []*operation) []*operation {
 	value, err := l.claimValue()
 	if err != nil {
 		l.settleAll(batch, failed)
-		return
+		return nil
 	}
 	writes := make([]cove.Write, 0, len(batch))
 	for _, op := range batch {
 		writes = append(writes, cove.Write{Key: rowKey(op.e.key), IfRevision: op.revision, Value: value})
 	}
 	token := l.nextToken()
-	l.cfg.Counters.Add("once.transaction", 1)
 	err = l.cfg.Store.Commit(ctx, token, writes)
 	switch {
 	case err == nil:
+		l.cfg.Counters.Add("once.transaction", 1)
 		l.settleAll(batch, won)
 	case errors.Is(err, cove.ErrConflict):
-		l.resolve(batch, l.conflicts(ctx, err, writes))
+		l.cfg.Counters.Add("once.conflict", 1)
+		return l.resolve(batch, l.conflicts(ctx, err, writes))
 	default:
+		l.cfg.Counters.Add("once.transaction", 1)
 		l.settleAll(batch, l.readBack(ctx, token, batch))
 	}
+	return nil
 }
 
 func (l *Ledger) claimValue() ([]byte, error) {
@@ -275,9 +296,8 @@
 	close(op.done)
 }
 
-// resolve ends the claims that met another row and queues the others again,
-// before later ones.
-func (l *Ledger) resolve(batch []*operation, rows map[string]cove.Row) {
+// resolve ends the claims that met another row and returns the others.
+func (l *Ledger) resolve(batch []*operation, rows map[string]cove.Row) []*operation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var again []*operation
@@ -287,7 +307,7 @@
 			again = append(again, op)
 		}
 	}
-	l.queue = append(again, l.queue...)
+	return again
 }
 
 // retry handles a claim that met another row. A row that this incarnation left
--- a/internal/limit/once/ledger.go
+++ b/internal/limit/once/ledger.go
@@ -56,7 +56,7 @@
 	// known for as long as they could be presented.
 	stubs     map[digest]struct{}
 	stubOrder []stub
-	queue []*operation
+	queue     []*operation
 	// frees holds entries whose row is to be deleted.
 	frees []*entry
 	token uint64
--- a/internal/limit/share/refuse_test.go
+++ b/internal/limit/share/refuse_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,12 +108,14 @@
 // Guards against B1 through a store outage in which all of the traffic moves to
 // another host every 10 s, and against hosts that lose their parts in it.
 func TestRefusedInOutage(t *testing.T) {
-	t.Parallel()
 	for _, domains := range []int{2, 4} {
-		m, c := startCaller(t, domains)
-		c.pick = func(n int) *simHost { return m.hosts[(n/9000)%len(m.hosts)] }
-		m.store.down = true
-		m.run(10*time.Minute, c.step)
-		c.check(t, "store outage", 0.005)
+		t.Run(fmt.Sprint(domains, " domains"), func(t *testing.T) {
+			t.Parallel()
+			m, c := startCaller(t, domains)
+			c.pick = func(n int) *simHost { return m.hosts[(n/9000)%len(m.hosts)] }
+			m.store.down = true
+			m.run(10*time.Minute, c.step)
+			c.check(t, "store outage", 0.005)
+		})
 	}
 }
--- a/internal/limit/share/renew.go
+++ b/internal/limit/share/renew.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if to == s.cfg.Self.ID {
-		s.finishRenewal(now, req, s.acceptRenewal(now, to, req))
+		s.finishRenewal(now, to, s.acceptRenewal(now, to, req))
 		return
 	}
 	resp, err := s.sendRenewal(ctx, to, req)
@@ -49,7 +49,7 @@
 		s.cfg.Counters.Add("share.renewFailed", 1)
 		return
 	}
-	s.finishRenewal(now, req, resp)
+	s.finishRenewal(now, to, resp)
 }
 
 func (s *Service) sendRenewal(ctx context.Context, to cove.HostID, req *peerpb.ShareRenewRequest) (*peerpb.ShareRenewResponse, error) {
@@ -227,8 +227,9 @@
 	return out
 }
 
-// finishRenewal applies the answer to a renewal that was sent at a time.
-func (s *Service) finishRenewal(sent time.Time, req *peerpb.ShareRenewRequest, resp *peerpb.ShareRenewResponse) {
+// finishRenewal applies the answer to a renewal that was sent at a time. Only
+// another host's answer shows after a pause that this one is still registered.
+func (s *Service) finishRenewal(sent time.Time, to cove.HostID, resp *peerpb.ShareRenewResponse) {
 	if resp == nil {
 		return
 	}
@@ -248,7 +249,7 @@
 		return
 	}
 	s.renewals, s.renewalsPlan = resp.GetRenewals(), s.row.Plan
-	if cove.HostID(req.GetHost()) == s.cfg.Self.ID && s.renewer() != s.cfg.Self.ID {
+	if to != s.cfg.Self.ID {
 		s.checked(sent)
 	}
 	s.extendLease(now, resp.GetCommitted(), resp.GetCovered())
--- a/internal/limit/share/service.go
+++ b/internal/limit/share/service.go
@@ -92,7 +92,7 @@
 	inc cove.Incarnation
 }
 
-// openCommit is a commit whose result is not known.
+// openCommit is a take-over whose result is not known.
 type openCommit struct {
 	// base is the revision that the commit requires.
 	base uint64
@@ -221,6 +221,10 @@
 	defer t.mu.Unlock()
 	t.advance(now)
 	t.measure(now)
+	if t.expired > 0 {
+		s.cfg.Counters.Add("loan.expired", t.expired)
+		t.expired = 0
+	}
 	if n := t.reclaim(now); n > 0 {
 		s.cfg.Counters.Add("loan.reclaimed", int64(n))
 	}
--- /dev/null
+++ b/internal/limit/share/service_test.go
@@ -0,0 +1,189 @@
+package share
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/meter"
+)
+
+// Guards against a host that admits requests after a pause longer than its
+// lease, before it has checked that it is still registered.
+func TestPausedHostChecksFirst(t *testing.T) {
+	m := newSim(3, 2, 1, cove.TeamRow{Name: "team", Rate: 100, Burst: 100})
+	for _, h := range m.hosts {
+		h.boot()
+	}
+	m.run(20*time.Second, nil)
+	h := m.hosts[1]
+	h.pausedTo = m.now.Add(leaseTime + time.Second)
+	m.cut[[2]int{0, 1}], m.cut[[2]int{-1, 1}] = true, true
+	m.run(leaseTime+10*time.Second, func() {
+		if h.take(1) {
+			t.Fatal("admitted after a pause without contact")
+		}
+	})
+	clear(m.cut)
+	m.run(5*time.Second, nil)
+	if !h.take(1) {
+		t.Error("refused after contact")
+	}
+}
+
+// Guards against a cut-off host that keeps its leased part, or loses its
+// reserve, and against a reserve that is transferred.
+func TestCutOffHostKeepsReserve(t *testing.T) {
+	m := newSim(3, 4, 2, cove.TeamRow{Name: "team", Rate: 1000, Burst: 1000})
+	for _, h := range m.hosts {
+		h.boot()
+	}
+	m.run(20*time.Second, nil)
+	h := m.hosts[0]
+	for n := -1; n < 4; n++ {
+		m.cut[[2]int{min(n, 0), max(n, 0)}] = true
+	}
+	m.run(time.Minute, nil)
+	want := map[int]float64{0: 50, 2: 450, 1: 250, 3: 250}
+	for n, rate := range want {
+		if got := (*m.hosts[n].s.teams.Load())["team"].bucket.Quota().Rate.Tokens(); got < rate-0.01 || got > rate {
+			t.Errorf("host %d has %v/s, want %v", n, got, rate)
+		}
+	}
+	if h.m.Count("share.paused") != 0 {
+		t.Error("a cut-off host counts as paused")
+	}
+	if m.oracle.failed != nil {
+		t.Error(m.oracle.failed)
+	}
+}
+
+// wire is a cove.Peers that carries requests to handlers in memory.
+type wire struct {
+	id   cove.HostID
+	all  map[cove.HostID]*wire
+	mux  http.ServeMux
+	open atomic.Bool
+}
+
+func (w *wire) Handle(pattern string, h http.Handler) { w.mux.Handle(pattern, h) }
+func (w *wire) Client(to cove.HostID) (*http.Client, string, error) {
+	return &http.Client{Transport: pipe{w, w.all[to]}}, "http://peer", nil
+}
+
+type pipe struct{ from, to *wire }
+
+func (p pipe) RoundTrip(r *http.Request) (*http.Response, error) {
+	if p.to == nil || !p.to.open.Load() {
+		return nil, errors.New("no such host")
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	r = r.Clone(cove.WithPeer(r.Context(), p.from.id))
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	rec := httptest.NewRecorder()
+	p.to.mux.ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
+
+// Guards against tasks that do not work together: registration, renewal, loans
+// over the peer protocol, requests that wait, and release, under the race
+// detector.
+func TestServicesTogether(t *testing.T) {
+	t.Parallel()
+	m := newSim(5, 2, 1, cove.TeamRow{Name: "team", Rate: 1000, Burst: 100})
+	wires := make(map[cove.HostID]*wire)
+	store := &lockedStore{m: m}
+	var services []*Service
+	for _, h := range m.hosts {
+		w := &wire{id: h.self.ID, all: wires}
+		w.open.Store(true)
+		wires[w.id] = w
+		h.self.Incarnation = cove.NewIncarnation()
+		h.m = new(meter.Meter)
+		h.s = New(Config{Self: h.self, Clock: &m.clock, Store: store, Tables: simTables{h}, Members: simFleet{h},
+			Peers: w, Counters: h.m, Events: simEvents{}})
+		services = append(services, h.s)
+	}
+	stop := m.drive()
+	defer stop()
+	for _, s := range services {
+		if err := s.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, "equal parts", func() bool {
+		return ownRate(services[0]) > 499 && ownRate(services[1]) > 499
+	})
+	admitted := 0
+	until(t, "a loan", func() bool {
+		if services[1].Take(context.Background(), "team", 1) == nil {
+			admitted++
+		}
+		return m.hosts[1].m.Count("loan.granted") > 0
+	})
+	if err := services[0].Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the whole limit", func() bool { return ownRate(services[1]) > 999 })
+	if err := services[1].Take(context.Background(), "nobody", 1); err == nil {
+		t.Error("admitted an unknown team")
+	}
+	if err := services[1].Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func ownRate(s *Service) float64 {
+	t, ok := (*s.teams.Load())["team"]
+	if !ok {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.own().Rate.Tokens()
+}
+
+// drive moves the clock until the returned function is called.
+func (m *sim) drive() func() {
+	done := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				// Much faster than real time, but slow enough for the tasks
+				// of a busy machine.
+				m.clock.Advance(time.Millisecond)
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !ok(); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("no %s within a minute", what)
+		}
+	}
+}
--- a/internal/limit/share/sim_test.go
+++ b/internal/limit/share/sim_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -515,3 +516,25 @@
 	}
 	return nil
 }
+
+// lockedStore is the store for services that run in goroutines.
+type lockedStore struct {
+	m  *sim
+	mu sync.Mutex
+}
+
+func (s *lockedStore) Get(ctx context.Context, key string) (cove.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return hostStore{s.m.hosts[0]}.Get(ctx, key)
+}
+
+func (s *lockedStore) List(context.Context, string, string, int) ([]cove.Row, error) {
+	return nil, cove.ErrUnavailable
+}
+
+func (s *lockedStore) Commit(ctx context.Context, token string, ws []cove.Write) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return hostStore{s.m.hosts[0]}.Commit(ctx, token, ws)
+}
--- a/internal/limit/share/team.go
+++ b/internal/limit/share/team.go
@@ -32,7 +32,9 @@
 	lent     rate.Quota
 	out      map[loanKey]lentLoan
 	in       []loan
-	bucket   rate.Bucket
+	// expired counts the loans that ended since the last tick.
+	expired int64
+	bucket  rate.Bucket
 	// nextEnd is the first end of the lease or of a loan in the bucket.
 	nextEnd time.Time
 
@@ -92,6 +94,7 @@
 			kept = append(kept, l)
 		}
 	}
+	t.expired += int64(len(t.in) - len(kept))
 	t.in = kept
 	t.apply(at)
 }
--- a/internal/limit/share/write.go
+++ b/internal/limit/share/write.go
@@ -82,12 +82,15 @@
 	err = s.cfg.Store.Commit(ctx, s.nextToken(), writes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	taking := s.taking
 	s.taking = false
 	if err == nil {
+		// An earlier open commit requires an older revision.
+		s.open = nil
 		s.applyRow(s.cfg.Clock.Now(), next)
 		return nil
 	}
-	if !errors.Is(err, cove.ErrConflict) {
+	if taking && !errors.Is(err, cove.ErrConflict) {
 		s.open = &openCommit{base: revision}
 	}
 	return errors.Wrap(err, "write row of failure domain")
@@ -122,8 +125,8 @@
 	return r, got.Revision, nil
 }
 
-// prepare builds the transaction. From here on until its result is known, the
-// host gives no promise if it takes the leased part of another.
+// prepare builds the transaction. If it takes the leased part of another host,
+// this one gives no promise until the result is known.
 func (s *Service) prepare(r *row, revision uint64, fn change) (*row, []cove.Write, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,7 +140,6 @@
 		return nil, nil, err
 	}
 	own := cove.Write{Key: rowKey(s.cfg.Self.Domain), IfRevision: revision, Value: b}
-	s.taking = true
 	return next, append([]cove.Write{own}, checks...), nil
 }
 
@@ -199,6 +201,7 @@
 			continue
 		}
 		r.lapse(e)
+		s.taking = true
 		s.cfg.Counters.Add("share.taken", 1)
 		s.cfg.Events.Emit("share.taken", "lease expired", cove.Field{Name: "host", Value: string(e.ID)})
 	}
