--- a/internal/limit/once/keys_test.go
+++ b/internal/limit/once/keys_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/group"
 )
 
 func request(key string, body byte) cove.KeyedRequest {
@@ -42,10 +43,12 @@
 	key := l.Ticket("team")
 	run := begin(t, l, request(key, 1)).Run
 	repeat := make(chan cove.Claim)
-	go func() {
-		c, _ := l.Begin(context.Background(), request(key, 1))
+	var g group.Group
+	g.Go(func(ctx context.Context) error {
+		c, err := l.Begin(ctx, request(key, 1))
 		repeat <- c
-	}()
+		return err
+	})
 	for w.hosts[0].m.Count("duplicate_blocked.memory") == 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/limit/share/bench_test.go
+++ b/internal/limit/share/bench_test.go
@@ -11,6 +11,7 @@
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/group"
 )
 
 // benchHost returns one host that holds the whole limit, on the system clock.
@@ -34,19 +35,18 @@
 
 func BenchmarkTake(b *testing.B) {
 	s := benchHost(8)
-	stop := make(chan struct{})
-	defer close(stop)
+	var g group.Group
+	defer func() {
+		g.Cancel()
+		_ = g.Wait()
+	}()
 	// The loan task marks the process as running.
-	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(tickEvery):
-				s.lastTick.Store(int64(s.since(time.Now())))
-			}
+	g.Go(func(ctx context.Context) error {
+		for s.cfg.Clock.Sleep(ctx, tickEvery) == nil {
+			s.lastTick.Store(int64(s.since(time.Now())))
 		}
-	}()
+		return nil
+	})
 	b.ReportAllocs()
 	for b.Loop() {
 		if err := s.Take(context.Background(), "team", 1); err != nil {
--- /dev/null
+++ b/internal/limit/share/oracle_test.go
@@ -0,0 +1,90 @@
+package share
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// limits returns the largest limits that some running host has in force.
+func (m *sim) limits() (rate, burst float64) {
+	for _, h := range m.hosts {
+		if h.s == nil {
+			continue
+		}
+		for _, t := range h.table.Teams {
+			rate, burst = max(rate, t.Rate), max(burst, t.Burst)
+		}
+	}
+	return rate * (1 + m.fast), burst
+}
+
+// oracle is one token bucket over the whole fleet. It goes below zero exactly
+// if some window admitted more than rate × window + burst.
+type oracle struct {
+	limits func() (rate, burst float64)
+	level  float64
+	at     time.Time
+	recent []limitAt
+	total  float64
+	// audited, tokens and spent are of the last audit.
+	audited time.Time
+	tokens  float64
+	spent   float64
+	failed  error
+}
+
+type limitAt struct {
+	at          time.Time
+	rate, burst float64
+}
+
+// current is the largest limit of the last loan time: loans that were made
+// under an older table end within it.
+func (o *oracle) current(now time.Time) (rate, burst float64) {
+	r, b := o.limits()
+	if n := len(o.recent); n == 0 || o.recent[n-1].rate != r || o.recent[n-1].burst != b {
+		o.recent = append(o.recent, limitAt{now, r, b})
+	}
+	for len(o.recent) > 1 && now.Sub(o.recent[1].at) > others(loanTime) {
+		o.recent = o.recent[1:]
+	}
+	for _, l := range o.recent {
+		rate, burst = max(rate, l.rate), max(burst, l.burst)
+	}
+	return rate, burst
+}
+
+// audit checks that the parts of all hosts stay within the limit, and that
+// tokens come only from the rate. Both must hold for the bound to hold under
+// the worst load that could follow.
+func (o *oracle) audit(now time.Time, rate, burst, tokens float64) {
+	r, b := o.current(now)
+	earned := r * now.Sub(o.audited).Seconds()
+	created := tokens + o.spent - o.tokens - earned
+	first := o.audited.IsZero()
+	o.audited, o.tokens, o.spent = now, tokens, 0
+	switch {
+	case o.failed != nil:
+	case rate > r+1e-6 || burst > b+1e-6:
+		o.failed = errors.Errorf("%v: parts add up to %.6f/s and burst %.6f of %v/s and %v", now, rate, burst, r, b)
+	// A bucket may hold less than a millionth of a token beside its level.
+	case !first && created > 1e-5:
+		o.failed = errors.Errorf("%v: %.6f tokens came from nowhere", now, created)
+	}
+}
+
+func (o *oracle) admit(now time.Time, cost float64) {
+	r, b := o.current(now)
+	if o.at.IsZero() {
+		o.at, o.level = now, b
+	}
+	o.level = min(b, o.level+r*now.Sub(o.at).Seconds())
+	o.at = now
+	o.level -= cost
+	o.total += cost
+	o.spent += cost
+	if o.level < -1e-6 && o.failed == nil {
+		o.failed = errors.Errorf("%v: %.6f admitted above %v/s and burst %v", now, -o.level, r, b)
+	}
+}
--- a/internal/limit/share/service_test.go
+++ b/internal/limit/share/service_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/group"
 	"turmericcove.org/cove/internal/core/meter"
 )
 
@@ -157,25 +158,19 @@
 
 // drive moves the clock until the returned function is called.
 func (m *sim) drive() func() {
-	done := make(chan struct{})
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			select {
-			case <-done:
-				return
-			default:
-				// Much faster than real time, but slow enough for the tasks
-				// of a busy machine.
-				m.clock.Advance(time.Millisecond)
-				time.Sleep(100 * time.Microsecond)
-			}
+	var g group.Group
+	g.Go(func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			// Much faster than real time, but slow enough for the tasks of a
+			// busy machine.
+			m.clock.Advance(time.Millisecond)
+			time.Sleep(100 * time.Microsecond)
 		}
-	}()
+		return nil
+	})
 	return func() {
-		close(done)
-		<-ended
+		g.Cancel()
+		_ = g.Wait()
 	}
 }
 
