Report a take-over only after its commit, bound loans per lender

Cause: the event was sent before the transaction was known to have succeeded, and a lender could hold any number of small loans of one borrower.

--- a/internal/limit/share/apply.go
+++ b/internal/limit/share/apply.go
@@ -14,7 +14,7 @@
 	if r.Plan < s.row.Plan {
 		return
 	}
-	changed := r.Plan != s.row.Plan
+	old, changed := s.row, r.Plan != s.row.Plan
 	s.row = r
 	s.observe(now, r)
 	if !changed {
@@ -23,6 +23,7 @@
 	s.noteRegistration()
 	s.applyParts(now)
 	s.emitParts()
+	s.emitLapsed(old)
 	s.dirty = true
 }
 
@@ -146,8 +147,24 @@
 	if e == nil {
 		return
 	}
+	s.cfg.Counters.Gauge("share.reserve", float64(e.Grant.Reserve)/float64(whole))
+	s.cfg.Counters.Gauge("share.leased", float64(e.Grant.Leased)/float64(whole))
+	s.cfg.Counters.Gauge("share.fraction", float64(s.row.Fraction)/float64(whole))
 	s.cfg.Events.Emit("share.parts", "plan "+strconv.FormatUint(s.row.Plan, 10),
 		cove.Field{Name: "fraction", Value: strconv.FormatInt(s.row.Fraction, 10)},
 		cove.Field{Name: "reserve", Value: strconv.FormatInt(e.Grant.Reserve, 10)},
 		cove.Field{Name: "leased", Value: strconv.FormatInt(e.Grant.Leased, 10)})
 }
+
+// emitLapsed reports the hosts whose leased part has been taken since the old
+// row.
+func (s *Service) emitLapsed(old *row) {
+	for i := range s.row.Hosts {
+		e := &s.row.Hosts[i]
+		before := old.own(e.ID, e.Incarnation)
+		if !e.Lapsed || before != nil && before.Lapsed {
+			continue
+		}
+		s.cfg.Events.Emit("share.lapsed", "lease expired", cove.Field{Name: "host", Value: string(e.ID)})
+	}
+}
--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -30,6 +30,8 @@
 	// maxLenders bounds the hosts that lend to this one, and so the messages
 	// that extend loans, independently of the size of the fleet.
 	maxLenders = 16
+	// maxLoans bounds the loans of a team from one lender.
+	maxLoans = 8
 	// callRate and callBurst bound the requests for loans per second.
 	callRate  = 16
 	callBurst = 32
@@ -308,7 +310,13 @@
 	if _, held := t.asks.held[id]; held {
 		return false
 	}
-	return len(c.lenders) < maxLenders || c.lenders[id]
+	loans := 0
+	for i := range t.in {
+		if t.in[i].lender == id {
+			loans++
+		}
+	}
+	return loans < maxLoans && (len(c.lenders) < maxLenders || c.lenders[id])
 }
 
 func (a *asks) hold(id cove.HostID, until time.Time) {
--- a/internal/limit/share/write.go
+++ b/internal/limit/share/write.go
@@ -87,6 +87,9 @@
 	if err == nil {
 		// An earlier open commit requires an older revision.
 		s.open = nil
+		if taking {
+			s.cfg.Counters.Add("share.taken", 1)
+		}
 		s.applyRow(s.cfg.Clock.Now(), next)
 		return nil
 	}
@@ -202,8 +205,6 @@
 		}
 		r.lapse(e)
 		s.taking = true
-		s.cfg.Counters.Add("share.taken", 1)
-		s.cfg.Events.Emit("share.taken", "lease expired", cove.Field{Name: "host", Value: string(e.ID)})
 	}
 	for i := len(r.Hosts) - 1; i >= 0; i-- {
 		if s.purgeable(now, &r.Hosts[i]) {
