--- a/internal/limit/share/store_test.go
+++ b/internal/limit/share/store_test.go
@@ -2,11 +2,22 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"turmericcove.org/cove"
 )
 
+// memStore is a table service with faults.
+type memStore struct {
+	rows    map[string]cove.Row
+	seq     uint64
+	down    bool
+	lossy   func() int // 0 none, 1 answer lost, 2 request lost, 3 applied late
+	reads   int
+	commits int
+}
+
 type hostStore struct{ h *simHost }
 
 func (s hostStore) fault() int {
@@ -66,3 +77,25 @@
 	}
 	return nil
 }
+
+// lockedStore is the store for services that run in goroutines.
+type lockedStore struct {
+	m  *sim
+	mu sync.Mutex
+}
+
+func (s *lockedStore) Get(ctx context.Context, key string) (cove.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return hostStore{s.m.hosts[0]}.Get(ctx, key)
+}
+
+func (s *lockedStore) List(context.Context, string, string, int) ([]cove.Row, error) {
+	return nil, cove.ErrUnavailable
+}
+
+func (s *lockedStore) Commit(ctx context.Context, token string, ws []cove.Write) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return hostStore{s.m.hosts[0]}.Commit(ctx, token, ws)
+}
