--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"turmericcove.org/cove"
 )
 
@@ -118,7 +120,7 @@
 }
 
 func checkHop(x *exchange) *cove.Refusal {
-	if !validToken(x.method, maxRequestID) || !validHost(x.host) || !validToken(x.id, 2*maxRequestID) {
+	if !httpguts.ValidHeaderFieldName(x.method) || !validHost(x.host) || !validToken(x.id, 2*maxRequestID) {
 		return errPeerForm
 	}
 	u, err := url.ParseRequestURI(x.uri)
@@ -136,13 +138,22 @@
 	x.work.Origin = cove.Region(h.Get(hopOrigin))
 	x.work.Block = block
 	for name, values := range h {
-		if hopByHop(name) || strings.HasPrefix(name, peerPrefix) || name == "Content-Length" || name == "Expect" {
-			continue
+		if !hopByHop(name) && !madeHere(name) {
+			x.fields = append(x.fields, field{name: name, values: values})
 		}
-		x.fields = append(x.fields, field{name: name, values: values})
 	}
 }
 
+// madeHere reports whether a header of a hop is for this host, or is made anew
+// for the backend server.
+func madeHere(name string) bool {
+	switch name {
+	case "Host", "Content-Length", "Expect", headerRequestID, headerDeadline:
+		return true
+	}
+	return strings.HasPrefix(name, peerPrefix)
+}
+
 // wrapAnswer adds what the origin needs to restore the answer and returns the
 // status of the hop's response, which net/http must not act on.
 func wrapAnswer(h http.Header, a *answer) int {
--- a/internal/route/proxy/shape_test.go
+++ b/internal/route/proxy/shape_test.go
@@ -6,16 +6,20 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/rogpeppe/go-internal/txtar"
+	"golang.org/x/net/http/httpguts"
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/bench/server"
+	"turmericcove.org/cove/internal/core/clock"
 )
 
 // seen keeps the last request of a backend server.
@@ -229,3 +233,41 @@
 		_, _ = findKey(cove.KeyPlace{Header: "X-Key"}, &http.Request{Header: http.Header{"X-Key": {key}}})
 	})
 }
+
+// FuzzHop checks that what another host sends is refused or written to a backend
+// server as exactly one request.
+func FuzzHop(f *testing.F) {
+	f.Add("GET", "/open/7?a=b", "x:80", "id.1", "X-A", "v")
+	f.Add("POST", "/open", "x", "id", "Host", "y")
+	f.Add("POST", "/open", "x", "id", "Transfer-Encoding", "chunked")
+	p := New(Deps{Clock: clock.System{}}, Config{})
+	p.setTable(&cove.Table{Routes: testRoutes()})
+	f.Fuzz(func(t *testing.T, method, uri, hostName, id, name, value string) {
+		r := httptest.NewRequest(http.MethodPost, forwardPath, nil)
+		for k, v := range map[string]string{hopRoute: "open", hopMethod: method, hopTarget: uri, hopHost: hostName, hopID: id,
+			hopDeadline: "100", hopBlock: "1f", hopAttempt: "1"} {
+			r.Header[k] = []string{v}
+		}
+		if httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value) {
+			r.Header.Set(name, value)
+		}
+		x := &exchange{r: r, w: httptest.NewRecorder()}
+		defer p.end(x)
+		if ref := p.readHop(x); ref != nil {
+			return
+		}
+		var out bytes.Buffer
+		bw := bufio.NewWriter(&out)
+		if err := writeHead(bw, x, time.Second); err != nil || bw.Flush() != nil {
+			return
+		}
+		in := bufio.NewReader(&out)
+		got, err := http.ReadRequest(in)
+		if err != nil {
+			t.Fatalf("%v in what was written", err)
+		}
+		if got.Method != method || got.RequestURI != uri || got.ContentLength != 0 || in.Buffered()+out.Len() > 0 {
+			t.Fatalf("wrote %s %s, %d more bytes", got.Method, got.RequestURI, in.Buffered()+out.Len())
+		}
+	})
+}
