Test waiters, forwards, links and pool changes; benchmark admission

Cause: a test showed that a full host kept a request waiting although the next domain had room, as long as no service time was known. Change: an unknown service time no longer rules out other domains.

--- /dev/null
+++ b/internal/limit/admit/admit_test.go
@@ -0,0 +1,288 @@
+package admit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+var onePool = []cove.PoolWeight{{Pool: testPool, Weight: 1}}
+
+// settledWorld returns hosts that hold their slots.
+func settledWorld(table *cove.Table, domains ...cove.Domain) *world {
+	w := newWorld(table, domains...)
+	for range 2 * int(time.Second/stepInterval) {
+		w.round()
+	}
+	return w
+}
+
+func reason(err error) cove.Reason {
+	var ref *cove.Refusal
+	if errors.As(err, &ref) && ref.Outcome == cove.NotRun {
+		return ref.Reason
+	}
+	return ""
+}
+
+// async runs Admit in a goroutine.
+func (h *host) async(ctx context.Context, work cove.WorkClass, ex cove.Exclude) chan any {
+	out := make(chan any, 1)
+	go func() {
+		pm, err := h.adm.Admit(ctx, onePool, work, ex)
+		if err != nil {
+			out <- err
+			return
+		}
+		out <- pm
+	}()
+	return out
+}
+
+func (h *host) pool() *pool { return h.adm.plan.Load().pools[testPool] }
+
+func (h *host) waitQueued(n int) {
+	for {
+		h.pool().mu.Lock()
+		got := h.pool().queue.n
+		h.pool().mu.Unlock()
+		if got == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against waiters that are lost: each one gets a slot, or leaves at once
+// when its caller gives up or its deadline cannot be met.
+func TestWaiters(t *testing.T) {
+	w := settledWorld(testTable(1, 1, "d0"), "d0")
+	h := w.hosts[0]
+	if err := h.admit(cove.WorkClass{}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	canceled := h.async(ctx, cove.WorkClass{}, cove.Exclude{})
+	h.waitQueued(1)
+	cancel()
+	if err, _ := (<-canceled).(error); reason(err) != cove.ReasonDeadline {
+		t.Errorf("canceled waiter: %v", err)
+	}
+	expired := h.async(context.Background(), cove.WorkClass{Deadline: w.clock.Now().Add(150 * time.Millisecond)}, cove.Exclude{})
+	h.waitQueued(1)
+	served := h.async(context.Background(), cove.WorkClass{}, cove.Exclude{})
+	h.waitQueued(2)
+	w.round()
+	w.round()
+	if err, _ := (<-expired).(error); reason(err) != cove.ReasonDeadline {
+		t.Errorf("expired waiter: %v", err)
+	}
+	h.finish(cove.Result{Status: 200, Latency: 50 * time.Millisecond})
+	pm, ok := (<-served).(cove.Permit)
+	if !ok {
+		t.Fatal("the waiter got no slot")
+	}
+	// A request that would wait past its deadline is refused at once.
+	late := cove.WorkClass{Deadline: w.clock.Now().Add(60 * time.Millisecond)}
+	if err := h.admit(late); reason(err) != cove.ReasonNoRoom {
+		t.Errorf("request that cannot finish: %v", err)
+	}
+	pm.Done(cove.Result{Status: 200})
+	pm.Done(cove.Result{Status: 200})
+	if h.pool().used != 0 {
+		t.Errorf("%d slots in use after the end", h.pool().used)
+	}
+	ex := cove.Exclude{Servers: []cove.ServerID{"d0-0"}}
+	if _, err := h.adm.Admit(ctx, onePool, cove.WorkClass{}, ex); err == nil {
+		t.Error("an excluded server was chosen")
+	}
+}
+
+// Guards against a full host that waits while another one has room, and against
+// work that is forwarded twice or to a tried domain.
+func TestForwardOrder(t *testing.T) {
+	w := settledWorld(testTable(2, 2, "d0", "d1"), "d0", "d0", "d1")
+	h := w.hosts[0]
+	target := func(work cove.WorkClass, ex cove.Exclude) cove.Target {
+		t.Helper()
+		pm, err := h.adm.Admit(canceledContext(), onePool, work, ex)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if pm.Target().Host == "" {
+			h.running = append(h.running, pm)
+		} else {
+			pm.Done(cove.Result{Canceled: true})
+		}
+		return pm.Target()
+	}
+	for range held(h) {
+		if got := target(cove.WorkClass{}, cove.Exclude{}); got.Server == "" || got.Domain != "d0" {
+			t.Errorf("with free slots: %+v", got)
+		}
+	}
+	if got := target(cove.WorkClass{}, cove.Exclude{}); got.Host != "h1" {
+		t.Errorf("full host, want the other one of the domain: %+v", got)
+	}
+	if got := target(cove.WorkClass{}, cove.Exclude{Domains: []cove.Domain{"d0"}}); got.Host != "h2" {
+		t.Errorf("own domain tried, want the next one: %+v", got)
+	}
+	if err := h.admit(cove.WorkClass{Forwarded: true, Origin: "west"}); reason(err) != cove.ReasonNoRoom {
+		t.Errorf("forwarded work at a full host: %v", err)
+	}
+}
+
+// Guards against more traffic on a link than this host's part, and against a
+// shift that goes on when the link is full.
+func TestLinkShare(t *testing.T) {
+	table := testTable(1, 1, "d0", "d1")
+	table.Domains[1].Region = "east"
+	table.Pools[0].RequestBytes = 1000
+	table.Links = []cove.Link{{A: "east", B: "west", BitsPerSecond: 8 * 100_000}}
+	w := newWorld(table, "d0", "d0", "d1")
+	w.hosts[2].self.Region = "east"
+	w.hosts[2].start()
+	for range 20 {
+		w.round()
+	}
+	h := w.hosts[0]
+	for held := held(h); held > 0; held-- {
+		_ = h.admit(cove.WorkClass{})
+	}
+	sent := 0
+	const seconds = 20
+	for range seconds * int(time.Second/stepInterval) {
+		w.round()
+		for range 50 {
+			h.pool().remote = h.pool().remote[:1]
+			h.pool().remote[0].Free = 1000
+			pm, err := h.adm.Admit(canceledContext(), onePool, cove.WorkClass{Block: uint64(sent)}, cove.Exclude{Domains: []cove.Domain{"d0"}})
+			if err != nil {
+				continue
+			}
+			sent += 1500
+			pm.Sent()
+			pm.Done(cove.Result{Status: 200, Bytes: 1500})
+		}
+	}
+	part := 50_000.0 // half of the link, which two hosts share
+	if limit := part * (seconds + linkBurst.Seconds()); float64(sent) > limit+1500 || float64(sent) < 0.9*limit {
+		t.Errorf("%d bytes sent in %d s, part %.0f/s", sent, seconds, part)
+	}
+}
+
+func canceledContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// Guards against requests that are refused by the ramp of a new pool although
+// the former pool of the route has room, and against a shift that never ends.
+func TestFormerPoolTakesWhatTheRampRefuses(t *testing.T) {
+	table := testTable(50, 2, "d0")
+	table.Pools[0].ShiftCap = 0
+	next := table.Pools[0]
+	next.Name, next.ShiftCap = "next", 20
+	table.Pools = append(table.Pools, next)
+	route := cove.Route{Name: "r", Pools: []cove.PoolWeight{{Pool: testPool, Weight: 1}}}
+	table.Routes = []cove.Route{route}
+	w := settledWorld(table, "d0")
+	h := w.hosts[0]
+	for range 80 {
+		w.round()
+	}
+	changed := *table
+	route.Pools = []cove.PoolWeight{{Pool: "next", Weight: 1}}
+	changed.Routes = []cove.Route{route}
+	h.adm.Apply(&changed)
+	seconds := make(map[int64]map[cove.PoolName]int)
+	for range 80 {
+		w.round()
+		at := w.clock.Now().Unix()
+		for i := range 10 {
+			pm, err := h.adm.Admit(canceledContext(), route.Pools, cove.WorkClass{Route: "r", Block: uint64(i)}, cove.Exclude{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if seconds[at] == nil {
+				seconds[at] = make(map[cove.PoolName]int)
+			}
+			seconds[at][pm.Target().Pool]++
+			pm.Done(cove.Result{Status: 200})
+		}
+	}
+	for at, n := range seconds {
+		if n["next"] > seconds[at-1]["next"]+20 {
+			t.Errorf("second %d: %d after %d", at, n["next"], seconds[at-1]["next"])
+		}
+	}
+	if last := seconds[w.clock.Now().Unix()-1]; last[testPool] > 0 {
+		t.Errorf("the shift has not ended: %v", last)
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, servers := range []int{12, 100, 1000} {
+		w := settledWorld(testTable(5, servers, "d0"), "d0")
+		h := w.hosts[0]
+		for range servers * 5 * 8 / 10 {
+			_ = h.admit(cove.WorkClass{})
+		}
+		ctx := context.Background()
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				pm, err := h.adm.Admit(ctx, onePool, cove.WorkClass{}, cove.Exclude{})
+				if err != nil {
+					b.Fatal(err)
+				}
+				pm.Done(cove.Result{Status: 200, Latency: time.Millisecond})
+			}
+		})
+	}
+}
+
+func BenchmarkQueue(b *testing.B) {
+	for _, teams := range []int{8, 100, 1000} {
+		names := make([]cove.Team, teams)
+		for i := range names {
+			names[i] = cove.Team(fmt.Sprint(i))
+		}
+		q := &queue{max: 4 * teams}
+		for i := range q.max {
+			q.push(&waiter{work: cove.WorkClass{Team: names[i%teams], Cost: 1}})
+		}
+		// The greedy team makes the queue overflow; its newest waiter gives way.
+		w := &waiter{work: cove.WorkClass{Team: names[0], Cost: 1}}
+		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				next := q.pop()
+				q.push(w)
+				_ = q.ahead(&next.work)
+				w = next
+				w.work.Team = names[i%teams]
+				if dropped := q.push(w); dropped != nil {
+					w = dropped
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	for _, servers := range []int{12, 100, 1000} {
+		w := settledWorld(testTable(5, servers, "d0"), "d0", "d0")
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				w.hosts[0].adm.Step()
+			}
+		})
+	}
+}
--- a/internal/limit/admit/place.go
+++ b/internal/limit/admit/place.go
@@ -99,7 +99,7 @@
 	}
 	p.restoreRemote()
 	for i := range p.remote {
-		if p.closed(i, ex, moved, now) || local && p.remote[i].Distance > wait {
+		if p.closed(i, ex, moved, now) || local && p.service > 0 && p.remote[i].Distance > wait {
 			p.remote[i].Health = 0
 		}
 	}
