Bound queue work per request, test health

Cause: a full queue searched all teams for the longest one on each request, a choice allocated, one burst of shed answers lowered the limit to 1, and a health endpoint that calls all servers bad ejected the whole pool. Change: the search takes 8 teams per request and goes on from there. The limit starts from the most in flight. Reports eject by the same rule as failures. A server's own word that it drains is shared between hosts. Conclusion: the drain and ejection oracles hold over 100 sequences.

--- a/internal/limit/admit/pool.go
+++ b/internal/limit/admit/pool.go
@@ -47,6 +47,9 @@
 	// set holds the candidates; order maps its handles to servers.
 	set   pick.Set
 	order []*server
+	// scratch is the request of a choice. A pointer to it, unlike one to a
+	// local variable, passes an interface without an allocation.
+	scratch cove.WorkClass
 	// limit is the number of requests that this host may run at once, used the
 	// number that it runs.
 	limit   int
@@ -99,7 +102,8 @@
 	}
 	var s *server
 	if p.set.Free() > 0 {
-		if h := p.set.Pick(p.a.Policy, work, now); h >= 0 {
+		p.scratch = *work
+		if h := p.set.Pick(p.a.Policy, &p.scratch, now); h >= 0 {
 			s = p.order[h]
 		}
 	}
@@ -215,6 +219,9 @@
 
 // expire refuses waiters that cannot finish in time any more.
 func (p *pool) expire(now time.Time) {
+	if p.queue.n == 0 {
+		return
+	}
 	for _, l := range p.queue.levels {
 		for _, t := range l.teams {
 			for w := t.head; w != nil; {
--- a/internal/limit/admit/queue.go
+++ b/internal/limit/admit/queue.go
@@ -13,6 +13,10 @@
 // that are refused in the end.
 const queueFactor = 16
 
+// searchStep is the number of teams that are compared when a waiter has to give
+// way.
+const searchStep = 8
+
 // queueMin is the least bound of a queue.
 const queueMin = 64
 
@@ -58,7 +62,8 @@
 	priority int
 	teams    map[cove.Team]*teamQueue
 	current  *teamQueue // ring of teams with waiters
-	longest  *teamQueue // team with the largest share, as far as pushes tell
+	longest  *teamQueue // team with the largest share, as far as is known
+	search   *teamQueue // where the search for a longer one goes on
 	weight   float64    // sum over the ring
 	quantum  float64
 	n        int
@@ -245,21 +250,24 @@
 	t.next, t.prev = nil, nil
 }
 
-// longestTeam returns the team with the largest share. Pops make the remembered
-// one obsolete, so a search follows when it has been overtaken by the mean.
+// longestTeam returns a team with a large share: the one remembered from
+// pushes, or a longer one among the next teams of a search that goes round the
+// ring. A search of the whole ring for each request would cost more than the
+// admission itself with 1,000 teams.
 func (l *level) longestTeam() *teamQueue {
-	mean := float64(l.n) / l.weight
-	if l.longest != nil && l.longest.n > 0 && l.longest.share() > 2*mean {
-		return l.longest
+	if l.longest == nil || l.longest.n == 0 {
+		l.longest = l.current
+	}
+	if l.search == nil || l.search.n == 0 {
+		l.search = l.current
 	}
-	best := l.current
-	for t := l.current.next; t != l.current; t = t.next {
-		if t.share() > best.share() {
-			best = t
+	for range searchStep {
+		if l.search.share() > l.longest.share() {
+			l.longest = l.search
 		}
+		l.search = l.search.next
 	}
-	l.longest = best
-	return best
+	return l.longest
 }
 
 func (t *teamQueue) append(w *waiter) {
--- /dev/null
+++ b/internal/route/health/health_test.go
@@ -0,0 +1,260 @@
+package health
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/group"
+)
+
+const (
+	testHosts   = 3
+	testServers = 6
+	// drainBound is the stated time in which all hosts react to a first sign.
+	drainBound = 2 * time.Second
+)
+
+// domain is a failure domain of hosts whose trackers share their results.
+type domain struct {
+	clock    clock.Manual
+	table    cove.Table
+	trackers []*Tracker
+	notes    map[cove.HostID]cove.Note
+	mute     bool // the fault of a board that delivers nothing
+	reports  [testServers]Report
+	listed   [testServers]bool
+	signs    [testServers]time.Time // first sign of a drain, zero for none
+	polls    int
+}
+
+func newDomain(mute bool) *domain {
+	d := &domain{mute: mute, notes: make(map[cove.HostID]cove.Note)}
+	pool := cove.Pool{Name: "diary", HealthPath: "/health"}
+	for i := range testServers {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(i))
+		pool.Servers = append(pool.Servers, cove.Server{ID: cove.ServerID(fmt.Sprint(i)), Addr: addr, Domain: "d", Slots: 8})
+	}
+	d.table.Pools = []cove.Pool{pool}
+	for h := range testHosts {
+		self := cove.Self{ID: cove.HostID(fmt.Sprint("h", h)), Domain: "d"}
+		board := &sender{domain: d, id: self.ID}
+		t := &Tracker{Self: self, Clock: &d.clock, Members: members{d}, Board: board, List: d, Prober: d, tasks: new(group.Group)}
+		t.Apply(&d.table)
+		d.trackers = append(d.trackers, t)
+	}
+	return d
+}
+
+func (d *domain) Probe(_ context.Context, addr netip.AddrPort, _, _ string) Report {
+	d.polls++
+	return d.reports[addr.Port()]
+}
+
+func (d *domain) Hosts(context.Context) ([]cove.ListedHost, error) {
+	var out []cove.ListedHost
+	for i, leaving := range d.listed {
+		out = append(out, cove.ListedHost{Caller: d.table.Pools[0].Servers[i].Addr, Leaving: leaving})
+	}
+	return out, nil
+}
+
+type members struct{ *domain }
+
+func (m members) Watch(func([]cove.Member)) {}
+func (m members) Snapshot() []cove.Member {
+	var out []cove.Member
+	for h := range testHosts {
+		out = append(out, cove.Member{ID: cove.HostID(fmt.Sprint("h", h)), Domain: "d", State: cove.HostLive})
+	}
+	return out
+}
+
+type sender struct {
+	*domain
+	id cove.HostID
+}
+
+func (s *sender) Post(scope cove.Scope, topic string, value []byte) error {
+	s.notes[s.id] = cove.Note{Topic: topic, Scope: scope, Host: s.id, Value: value}
+	return nil
+}
+
+func (s *sender) Notes(cove.Scope, string) []cove.Note {
+	var out []cove.Note
+	for id, n := range s.notes {
+		if id != s.id && !s.mute {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// advance lets time pass in steps of the trackers.
+func (d *domain) advance(steps int) {
+	for k := range steps {
+		d.clock.Advance(tick)
+		now := d.clock.Now()
+		for _, t := range d.trackers {
+			for _, p := range t.due(now) {
+				t.poll(context.Background(), p)
+			}
+			if k%int(listInterval/tick) == 0 && t.readsList() {
+				t.applyList(context.Background())
+			}
+			t.receive(now)
+			t.share(now)
+		}
+	}
+}
+
+func (d *domain) server(host, i int) *Server {
+	return d.trackers[host].Server("diary", cove.ServerID(fmt.Sprint(i)))
+}
+
+// sign is a step of the stateful test.
+type sign struct {
+	kind   string
+	host   int
+	server int
+}
+
+var signs = []string{"table", "list", "report", "answer", "fail", "fail", "fail", "good", "bad", "advance", "advance", "advance"}
+
+func (s sign) String() string                             { return fmt.Sprint(s.kind, " ", s.host, " ", s.server) }
+func (s sign) NextState(st commands.State) commands.State { return st }
+func (s sign) PreCondition(commands.State) bool           { return true }
+
+func (s sign) Run(sut commands.SystemUnderTest) commands.Result {
+	d := sut.(*domain)
+	now := d.clock.Now()
+	if s.kind == "table" || s.kind == "list" || s.kind == "report" || s.kind == "answer" {
+		if d.signs[s.server].IsZero() {
+			d.signs[s.server] = now
+		}
+	}
+	target := d.server(s.host, s.server)
+	switch s.kind {
+	case "table":
+		d.table.Pools[0].Servers[s.server].Draining = true
+		for _, t := range d.trackers {
+			t.Apply(&d.table)
+		}
+	case "list":
+		d.listed[s.server] = true
+	case "report":
+		d.reports[s.server].Draining = true
+	case "answer":
+		target.Begin()
+		target.Done(now, cove.Result{Draining: true, Shed: true})
+	case "fail", "good":
+		target.Begin()
+		target.Done(now, cove.Result{Status: 200, Silent: s.kind == "fail"})
+	case "bad":
+		d.reports[s.server].Bad = true
+	case "advance":
+		d.advance(s.server * 3)
+	}
+	return d
+}
+
+// PostCondition is the oracle: all hosts know of a drain in time, no server
+// drains without a sign, and a bounded share of the pool is ejected.
+func (s sign) PostCondition(_ commands.State, r commands.Result) *gopter.PropResult {
+	d := r.(*domain)
+	now := d.clock.Now()
+	for h := range testHosts {
+		ejected := 0
+		for i := range testServers {
+			st := d.server(h, i).State(now)
+			first := d.signs[i]
+			if !first.IsZero() && now.Sub(first) >= drainBound && (!st.Draining || st.Health > 0) {
+				return violated("host %d gives work to %d, %v after the sign", h, i, now.Sub(first))
+			}
+			if first.IsZero() && st.Draining {
+				return violated("host %d takes %d for leaving", h, i)
+			}
+			if !st.Draining && st.Health == 0 {
+				ejected++
+			}
+		}
+		if ejected > testServers/3 {
+			return violated("host %d has ejected %d servers", h, ejected)
+		}
+	}
+	return &gopter.PropResult{Status: gopter.PropTrue}
+}
+
+func violated(format string, args ...any) *gopter.PropResult {
+	return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{fmt.Sprintf(format, args...)}}
+}
+
+func drainCommands(mute bool) commands.Commands {
+	return &commands.ProtoCommands{
+		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newDomain(mute) },
+		InitialStateGen:        gen.Const(0),
+		GenCommandFunc: func(commands.State) gopter.Gen {
+			return gopter.CombineGens(gen.IntRange(0, len(signs)-1), gen.IntRange(0, testHosts-1), gen.IntRange(0, testServers-1)).
+				Map(func(v []any) commands.Command { return sign{signs[v[0].(int)], v[1].(int), v[2].(int)} })
+		},
+	}
+}
+
+// Guards against new work for a leaving backend server 2 s after the first sign
+// at any host, and against a pool that is ejected as a whole.
+func TestDrainMarksReachAllHosts(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(3)
+	p.MinSuccessfulTests = 100
+	props := gopter.NewProperties(p)
+	props.Property("drains", commands.Prop(drainCommands(false)))
+	props.TestingRun(t)
+	// The oracle has to catch hosts that do not share what they know.
+	if r := commands.Prop(drainCommands(true)).Check(p); r.Status != gopter.TestFailed {
+		t.Errorf("a board that delivers nothing passes: %v", r.Status)
+	}
+}
+
+// Guards against polls whose number grows with the number of hosts.
+func TestPollsPerServerStayLevel(t *testing.T) {
+	d := newDomain(false)
+	const seconds = 20
+	d.advance(seconds * int(time.Second/tick))
+	if most := testServers * pollers * seconds * 4 / 3; d.polls > most || d.polls < most/2 {
+		t.Errorf("%d polls of %d servers by %d hosts in %d s", d.polls, testServers, testHosts, seconds)
+	}
+}
+
+// Guards against a limit that ignores shed answers, or that never recovers.
+func TestLimitFollowsShedAnswers(t *testing.T) {
+	d := newDomain(false)
+	s := d.server(0, 0)
+	const capacity = 4
+	low, high := 100, 0
+	for round := range 400 {
+		limit := s.State(d.clock.Now()).Limit
+		if limit == 0 {
+			limit = 8
+		}
+		if round > 100 {
+			low, high = min(low, limit), max(high, limit)
+		}
+		for range limit {
+			s.Begin()
+		}
+		d.clock.Advance(tick)
+		for i := range limit {
+			s.Done(d.clock.Now(), cove.Result{Status: 200, Shed: i >= capacity, Latency: time.Millisecond})
+		}
+	}
+	if low < capacity-2 || high > capacity+2 {
+		t.Errorf("limit between %d and %d for a server that takes %d", low, high, capacity)
+	}
+}
--- a/internal/route/health/note.go
+++ b/internal/route/health/note.go
@@ -22,8 +22,8 @@
 const (
 	flagBad = 1 << iota
 	flagDraining
-	// flagListed marks an entry that repeats the list of hosts and carries no
-	// result of a poll.
+	// flagListed marks a server that the list of hosts, or its own answer, calls
+	// leaving.
 	flagListed
 )
 
--- a/internal/route/health/poll.go
+++ b/internal/route/health/poll.go
@@ -146,7 +146,8 @@
 	var all []entry
 	for _, ps := range t.pools {
 		for _, p := range ps.servers {
-			e := entry{hash: uint32(p.key), report: p.last, listed: p.listed, age: now.Sub(p.lastAt)}
+			e := entry{hash: uint32(p.key), report: p.last, age: now.Sub(p.lastAt)}
+			e.listed = p.listed || p.answered(now)
 			if p.inTable && (e.listed || e.age < reportTrust) {
 				all = append(all, e)
 			}
--- a/internal/route/health/report.go
+++ b/internal/route/health/report.go
@@ -47,6 +47,9 @@
 		return
 	}
 	s.badPolls++
+	if s.badPolls >= ejectSilent && now.Sub(s.lastGood) >= contradiction {
+		s.eject(now)
+	}
 }
 
 // rate compares a report with what this host knows for sure: the server is not
--- a/internal/route/health/server.go
+++ b/internal/route/health/server.go
@@ -44,8 +44,7 @@
 	// drainHold is how long the server's own word that it drains is believed
 	// without being repeated.
 	drainHold = 30 * time.Second
-	// reportTrust is the age up to which a report of the health endpoint can
-	// eject a server that this host has no results from.
+	// reportTrust is the age up to which a report of the health endpoint counts.
 	reportTrust = 5 * time.Second
 	// contradiction is how recent a success must be to outweigh a bad report.
 	contradiction = 2 * time.Second
@@ -64,6 +63,7 @@
 
 	mu        sync.Mutex
 	inFlight  int
+	peak      int // most in flight since the limit was last lowered
 	slots     int
 	latency   time.Duration
 	errorRate float64
@@ -108,6 +108,7 @@
 func (s *Server) Begin() {
 	s.mu.Lock()
 	s.inFlight++
+	s.peak = max(s.peak, s.inFlight)
 	s.mu.Unlock()
 }
 
@@ -124,7 +125,7 @@
 	case res.Canceled:
 	case res.Draining && res.Shed:
 	case res.Shed:
-		s.shed(now, used)
+		s.shed(now)
 	case failed(res):
 		s.fail(now, res.Silent)
 	default:
@@ -157,17 +158,20 @@
 	}
 }
 
-func (s *Server) shed(now time.Time, used int) {
+// shed lowers the limit below what was in flight before the answer. The number
+// in flight at the answer itself is too low when others have ended meanwhile.
+func (s *Server) shed(now time.Time) {
 	s.lastShed = now
 	if now.Sub(s.backedOff) < backoffGap {
 		return
 	}
 	s.backedOff = now
-	from := float64(used)
+	from := float64(s.peak)
 	if s.limit > 0 {
 		from = min(from, s.limit)
 	}
 	s.limit = max(1, from*limitBackoff)
+	s.peak = s.inFlight
 }
 
 func (s *Server) fail(now time.Time, silent bool) {
@@ -231,20 +235,14 @@
 	}
 	h := 1 - s.errorRate
 	h *= s.warmth(now)
-	if s.reportedBad(now) {
-		if now.Sub(s.lastGood) < contradiction || !s.mayEject(now) {
-			return max(h/2, healthMin)
-		}
-		return 0
+	if s.badPolls >= ejectSilent && now.Sub(s.reportAt) < reportTrust {
+		// Results of this host, or the share of the pool that is ejected
+		// already, speak against a further ejection.
+		h /= 2
 	}
 	return max(h, healthMin)
 }
 
-// reportedBad reports whether the health endpoint says so repeatedly.
-func (s *Server) reportedBad(now time.Time) bool {
-	return s.badPolls >= ejectSilent && now.Sub(s.reportAt) < reportTrust
-}
-
 // warmth rises from slowStartMin to 1 during slowStart.
 func (s *Server) warmth(now time.Time) float64 {
 	if s.coldSince.IsZero() {
@@ -290,3 +288,11 @@
 	defer s.mu.Unlock()
 	return s.inFlight == 0
 }
+
+// answered reports whether the server itself has said to this host that it
+// drains.
+func (s *Server) answered(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.drain.answer.IsZero() && now.Sub(s.drain.answer) < drainHold
+}
