Refuse waiters of a pool without servers, refresh room of peers

Cause: waiters of a removed or fully drained pool stayed until their deadline; a peer whose report did not change was never used again after as many sends as it had room; the choice of domain took 1.2 µs at 21 domains. Change: such waiters are refused not-run at once; own sends are subtracted for 1 s at most; states of domains are cached by index and ranks use an approximated logarithm.

--- a/internal/limit/admit/place.go
+++ b/internal/limit/admit/place.go
@@ -32,8 +32,9 @@
 	host cove.HostID
 	free int
 	// version tells reports apart, so that own sends are subtracted until the
-	// next one.
+	// next one, or until peerRefresh has passed since the report was taken over.
 	version []byte
+	since   time.Time
 }
 
 // now decides about a request without waiting. It returns neither a permit nor
--- a/internal/limit/admit/pool.go
+++ b/internal/limit/admit/pool.go
@@ -12,14 +12,11 @@
 	"turmericcove.org/cove/internal/route/pick"
 )
 
-const (
-	// serviceDecay is the weight of one request in the mean service time.
-	serviceDecay = 0.05
-	// finishMargin multiplies the expected time of a request that is compared
-	// with its deadline. The expectation is a mean, so a smaller margin would
-	// refuse work that half of the time ends before its deadline.
-	finishMargin = 1.0
-)
+// serviceDecay is the weight of one request in the mean service time.
+const serviceDecay = 0.05
+
+// retryAfter is the time after which a refused caller may find room.
+const retryAfter = time.Second
 
 // server is a backend server on which this host may hold slots.
 type server struct {
@@ -154,7 +151,9 @@
 		return nil, nil
 	}
 	if moved && !p.rampTake(now) {
-		return nil, cove.Refuse(http.StatusServiceUnavailable, cove.ReasonShiftCap, "the pool takes up moved requests no faster")
+		ref := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonShiftCap, "the pool takes up moved requests no faster")
+		ref.RetryAfter = retryAfter
+		return nil, ref
 	}
 	return p.grant(s, moved, now), nil
 }
@@ -236,6 +235,14 @@
 	}
 }
 
+// refuseAll empties the queue of a pool that has no backend server left, so that
+// its requests can be tried elsewhere.
+func (p *pool) refuseAll() {
+	for w := p.queue.pop(); w != nil; w = p.queue.pop() {
+		w.done <- outcome{refusal: refuseNoRoom("no backend server of the pool is left here")}
+	}
+}
+
 // wait returns the expected time until a new request gets a slot here, and
 // false when no slot will get free.
 func (p *pool) wait(work *cove.WorkClass) (time.Duration, bool) {
@@ -251,7 +258,7 @@
 	if deadline.IsZero() {
 		return false
 	}
-	return now.Add(time.Duration(finishMargin * float64(d))).After(deadline)
+	return now.Add(d).After(deadline)
 }
 
 func refuseDeadline() *cove.Refusal {
@@ -259,7 +266,9 @@
 }
 
 func refuseNoRoom(detail string) *cove.Refusal {
-	return cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, detail)
+	ref := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, detail)
+	ref.RetryAfter = retryAfter
+	return ref
 }
 
 // setServers takes over the table's servers of the domains that this host may
--- a/internal/limit/admit/room.go
+++ b/internal/limit/admit/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"turmericcove.org/cove"
@@ -13,6 +14,10 @@
 // ignored.
 const peerExpiry = 5 * time.Second
 
+// peerRefresh is the time after which a report that has not changed shows own
+// sends, because it has been posted again meanwhile.
+const peerRefresh = time.Second
+
 // exchangeRooms posts the room of this host and domain, and takes over the room
 // that others report.
 func (a *Admitter) exchangeRooms(pl *plan, now time.Time) {
@@ -47,7 +52,7 @@
 	remote := a.remoteRooms()
 	for _, p := range pl.pools {
 		p.mu.Lock()
-		p.setPeers(byPool[poolHash(p.name)], live)
+		p.setPeers(byPool[poolHash(p.name)], live, now)
 		p.setRemote(pl, a.Self, hosts, remote)
 		p.mu.Unlock()
 	}
@@ -98,16 +103,18 @@
 
 // setPeers replaces the room of the other hosts of the domain. A host whose
 // report is the same as before keeps the room that own sends have left.
-func (p *pool) setPeers(next []peerRoom, live map[cove.HostID]bool) {
+func (p *pool) setPeers(next []peerRoom, live map[cove.HostID]bool, now time.Time) {
 	kept := next[:0]
 	for _, n := range next {
 		if !live[n.host] {
 			continue
 		}
+		n.since = now
 		for i := range p.peers {
 			old := &p.peers[i]
-			if old.host == n.host && bytes.Equal(old.version, n.version) {
+			if old.host == n.host && bytes.Equal(old.version, n.version) && now.Sub(old.since) < peerRefresh {
 				n.free = min(n.free, old.free)
+				n.since = old.since
 			}
 		}
 		kept = append(kept, n)
@@ -122,13 +129,12 @@
 	p.remote = p.remote[:0]
 	// All hosts of the domain read the same reports, so each uses its part.
 	p.domains.Share = 1 / float64(len(hosts[self.Domain])+1)
-	seen := make(map[cove.Domain]bool)
-	for i := range p.row.Servers {
-		d := p.row.Servers[i].Domain
-		if d == self.Domain || seen[d] || len(hosts[d]) == 0 {
+	// Near domains come first, so that a choice does not look at the others
+	// while these have room.
+	for _, d := range p.otherDomains(pl, self) {
+		if len(hosts[d]) == 0 {
 			continue
 		}
-		seen[d] = true
 		r := room{domain: d, region: pl.regions[d], hosts: hosts[d]}
 		for k := range old {
 			if old[k].domain == d {
@@ -140,6 +146,23 @@
 	}
 }
 
+// otherDomains returns the other domains that have servers of the pool, those
+// of the own region first.
+func (p *pool) otherDomains(pl *plan, self cove.Self) []cove.Domain {
+	var near, far []cove.Domain
+	for i := range p.row.Servers {
+		d := p.row.Servers[i].Domain
+		switch {
+		case d == self.Domain || slices.Contains(near, d) || slices.Contains(far, d):
+		case pl.regions[d] == self.Region:
+			near = append(near, d)
+		default:
+			far = append(far, d)
+		}
+	}
+	return append(near, far...)
+}
+
 // candidate describes a domain. Without a report it has no room, and gets
 // probes only.
 func (p *pool) candidate(r *room, self cove.Self, rep report) cove.Candidate {
--- a/internal/limit/admit/step.go
+++ b/internal/limit/admit/step.go
@@ -68,7 +68,8 @@
 		}
 		p.mu.Lock()
 		p.setServers(&cove.Pool{Name: name}, serves)
-		busy := p.used+p.queue.n > 0
+		p.refuseAll()
+		busy := p.used > 0
 		p.mu.Unlock()
 		if busy {
 			pl.pools[name] = p
@@ -153,6 +154,9 @@
 		p.refresh(now)
 		p.expire(now)
 		p.dispatch(now)
+		if p.limit == 0 {
+			p.refuseAll()
+		}
 		p.mu.Unlock()
 	}
 	a.lastStep.Store(now.UnixNano())
--- a/internal/route/pick/domain.go
+++ b/internal/route/pick/domain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,11 +43,15 @@
 	Share float64
 
 	state map[cove.Domain]*domainState
+	// recent holds the states of the last candidates by index, because a
+	// comparison of names costs less than a lookup.
+	recent []*domainState
 }
 
 var _ cove.Picker = (*Domains)(nil)
 
 type domainState struct {
+	name      cove.Domain
 	seed      uint64
 	trust     float64
 	weight    float64
@@ -68,7 +73,7 @@
 		if best >= 0 && c.Distance > bestDistance {
 			continue
 		}
-		s := d.get(c.Domain)
+		s := d.cached(i, c.Domain)
 		if d.room(s, c, now) < 1 {
 			continue
 		}
@@ -103,7 +108,7 @@
 	best := -1
 	for i := range cs {
 		c := &cs[i]
-		if !usable(c) || now.Sub(d.get(c.Domain).lastProbe) < probeInterval {
+		if !usable(c) || now.Sub(d.cached(i, c.Domain).lastProbe) < probeInterval {
 			continue
 		}
 		if best < 0 || c.Distance < cs[best].Distance {
@@ -132,6 +137,17 @@
 	s.trust += (1 - s.trust) * trustStep
 }
 
+func (d *Domains) cached(i int, name cove.Domain) *domainState {
+	for len(d.recent) <= i {
+		d.recent = append(d.recent, nil)
+	}
+	if s := d.recent[i]; s != nil && s.name == name {
+		return s
+	}
+	d.recent[i] = d.get(name)
+	return d.recent[i]
+}
+
 func (d *Domains) get(name cove.Domain) *domainState {
 	s := d.state[name]
 	if s != nil {
@@ -140,17 +156,28 @@
 	if d.state == nil {
 		d.state = make(map[cove.Domain]*domainState)
 	}
-	s = &domainState{seed: xxhash.Sum64String(string(name)), trust: 1}
+	s = &domainState{name: name, seed: xxhash.Sum64String(string(name)), trust: 1}
 	d.state[name] = s
 	return s
 }
 
 // rank is the weighted rendezvous rank of a block; the lowest rank wins.
 func (s *domainState) rank(block uint64) float64 {
-	u := (float64(mix(s.seed^block)>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / max(s.weight, 1)
+	return negLog2(mix(s.seed^block)) / max(s.weight, 1)
+}
+
+// negLog2 approximates -log2(u) for u = x / 2^64. A parabola through the ends
+// replaces the logarithm of the mantissa; the error of 0.01 does not matter for
+// a spread, and math.Log took half of the time of a choice.
+func negLog2(x uint64) float64 {
+	zeros := bits.LeadingZeros64(x)
+	mantissa := float64(x<<(zeros+1)>>11) / (1 << 53)
+	return float64(zeros+1) - mantissa*(curve-(curve-1)*mantissa)
 }
 
+// curve is the slope of the parabola at 0 that lies closest to log2(1+x).
+const curve = 1.3465
+
 // advance moves the ring of own sends to the present.
 func (s *domainState) advance(now time.Time) {
 	at := now.UnixNano() / int64(sentWidth)
