--- a/internal/limit/admit/note.go
+++ b/internal/limit/admit/note.go
@@ -33,7 +33,7 @@
 // encodeRooms writes the entries, those with the most room first, as far as
 // they fit. A receiver takes a pool that is left out for one without room.
 func encodeRooms(entries []roomEntry) []byte {
-	slices.SortFunc(entries, func(a, b roomEntry) int { return b.free - a.free })
+	slices.SortStableFunc(entries, func(a, b roomEntry) int { return b.free - a.free })
 	b := []byte{noteVersion}
 	for _, e := range entries {
 		next := binary.LittleEndian.AppendUint32(b, e.pool)
--- a/internal/route/health/health_test.go
+++ b/internal/route/health/health_test.go
@@ -258,3 +258,15 @@
 		t.Errorf("limit between %d and %d for a server that takes %d", low, high, capacity)
 	}
 }
+
+// Guards against a note of a faulty peer that crashes the host.
+func FuzzDecodeNote(f *testing.F) {
+	f.Add(appendEntry([]byte{noteVersion}, entry{hash: 1, report: Report{Load: 0.5, Draining: true}, age: time.Second}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, e := range decodeNote(b) {
+			if got := decodeNote(appendEntry([]byte{noteVersion}, e)); len(got) != 1 || got[0] != e {
+				t.Errorf("%v is read as %v", e, got)
+			}
+		}
+	})
+}
