--- a/internal/limit/admit/place.go
+++ b/internal/limit/admit/place.go
@@ -32,8 +32,9 @@
 	host cove.HostID
 	free int
 	// version tells reports apart, so that own sends are subtracted until the
-	// next one.
+	// next one, or until peerRefresh has passed since the report was taken over.
 	version []byte
+	since   time.Time
 }
 
 // now decides about a request without waiting. It returns neither a permit nor
@@ -99,7 +100,7 @@
 	}
 	p.restoreRemote()
 	for i := range p.remote {
-		if p.closed(i, ex, moved, now) || local && p.remote[i].Distance > wait {
+		if p.closed(i, ex, moved, now) || local && p.service > 0 && p.remote[i].Distance > wait {
 			p.remote[i].Health = 0
 		}
 	}
--- a/internal/limit/admit/pool.go
+++ b/internal/limit/admit/pool.go
@@ -12,14 +12,11 @@
 	"turmericcove.org/cove/internal/route/pick"
 )
 
-const (
-	// serviceDecay is the weight of one request in the mean service time.
-	serviceDecay = 0.05
-	// finishMargin multiplies the expected time of a request that is compared
-	// with its deadline. The expectation is a mean, so a smaller margin would
-	// refuse work that half of the time ends before its deadline.
-	finishMargin = 1.0
-)
+// serviceDecay is the weight of one request in the mean service time.
+const serviceDecay = 0.05
+
+// retryAfter is the time after which a refused caller may find room.
+const retryAfter = time.Second
 
 // server is a backend server on which this host may hold slots.
 type server struct {
@@ -47,6 +44,9 @@
 	// set holds the candidates; order maps its handles to servers.
 	set   pick.Set
 	order []*server
+	// scratch is the request of a choice. A pointer to it, unlike one to a
+	// local variable, passes an interface without an allocation.
+	scratch cove.WorkClass
 	// limit is the number of requests that this host may run at once, used the
 	// number that it runs.
 	limit int
@@ -101,7 +101,8 @@
 	}
 	var s *server
 	if p.set.Free() > 0 {
-		if h := p.set.Pick(p.a.Policy, work, now); h >= 0 {
+		p.scratch = *work
+		if h := p.set.Pick(p.a.Policy, &p.scratch, now); h >= 0 {
 			s = p.order[h]
 		}
 	}
@@ -152,7 +153,9 @@
 		return nil, nil
 	}
 	if moved && !p.rampTake(now) {
-		return nil, cove.Refuse(http.StatusServiceUnavailable, cove.ReasonShiftCap, "the pool takes up moved requests no faster")
+		ref := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonShiftCap, "the pool takes up moved requests no faster")
+		ref.RetryAfter = retryAfter
+		return nil, ref
 	}
 	return p.grant(s, moved, now), nil
 }
@@ -217,6 +220,9 @@
 
 // expire refuses waiters that cannot finish in time any more.
 func (p *pool) expire(now time.Time) {
+	if p.queue.n == 0 {
+		return
+	}
 	for _, l := range p.queue.levels {
 		for _, t := range l.teams {
 			for w := t.head; w != nil; {
@@ -231,6 +237,14 @@
 	}
 }
 
+// refuseAll empties the queue of a pool that has no backend server left, so that
+// its requests can be tried elsewhere.
+func (p *pool) refuseAll(now time.Time) {
+	for w := p.queue.pop(now); w != nil; w = p.queue.pop(now) {
+		w.done <- outcome{refusal: refuseNoRoom("no backend server of the pool is left here")}
+	}
+}
+
 // wait returns the expected time until a new request gets a slot here, and
 // false when no slot will get free. What the requests of this priority have
 // waited counts too, as those of higher priority that arrive later go first.
@@ -248,7 +262,7 @@
 	if deadline.IsZero() {
 		return false
 	}
-	return now.Add(time.Duration(finishMargin * float64(d))).After(deadline)
+	return now.Add(d).After(deadline)
 }
 
 func refuseDeadline() *cove.Refusal {
@@ -256,7 +270,9 @@
 }
 
 func refuseNoRoom(detail string) *cove.Refusal {
-	return cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, detail)
+	ref := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, detail)
+	ref.RetryAfter = retryAfter
+	return ref
 }
 
 // setServers takes over the table's servers of the domains that this host may
