--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -241,3 +241,6 @@
 		_ = r.platformSrv.Close()
 	}
 }
+
+// PlatformURL returns the address of the platform stand-in.
+func (r *Rig) PlatformURL() string { return r.platformURL }
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -34,13 +34,15 @@
 
 // Caller holds the settings of the port for callers.
 type Caller struct {
+	// Listen is the address of the port for callers.
 	Listen netip.AddrPort `json:"listen"`
-	// Advertise is the address that look-ups return. Default: listen.
+	// Advertise is the address that lookups return. Default: listen.
 	Advertise netip.AddrPort `json:"advertise,omitzero"`
-	// Cert and Key are PEM files. Without them the port speaks plain HTTP.
+	// Cert is a PEM file. Without it the port speaks plain HTTP.
 	Cert string `json:"cert,omitempty"`
-	Key  string `json:"key,omitempty"`
-	// Trusted callers may state another address in a look-up.
+	// Key is the PEM file of the certificate's key.
+	Key string `json:"key,omitempty"`
+	// Trusted callers may state another address in a lookup.
 	Trusted []netip.Prefix `json:"trusted,omitempty"`
 	// MaxConnections bounds open connections of callers. Default: 4096.
 	MaxConnections int `json:"maxConnections,omitempty"`
@@ -54,13 +56,16 @@
 
 // Peer holds the settings of the port for other entry hosts.
 type Peer struct {
+	// Listen is the address of the port for other entry hosts.
 	Listen netip.AddrPort `json:"listen"`
 	// Advertise is the address that other hosts dial. Default: listen.
 	Advertise netip.AddrPort `json:"advertise,omitzero"`
-	// CA, Cert and Key are PEM files for mutual TLS between hosts.
-	CA   string `json:"ca"`
+	// CA is the PEM file of the authority that signs the hosts' certificates.
+	CA string `json:"ca"`
+	// Cert is the PEM file of the host's certificate, which names the host.
 	Cert string `json:"cert"`
-	Key  string `json:"key"`
+	// Key is the PEM file of the certificate's key.
+	Key string `json:"key"`
 }
 
 // Admin holds the settings of the port for operators.
@@ -71,13 +76,17 @@
 
 // Platform tells where the platform's services are.
 type Platform struct {
+	// URL of the table service, the object store and the list of hosts.
 	URL string `json:"url"`
 }
 
 // Distance is the one-way delay between two regions.
 type Distance struct {
-	A      cove.Region   `json:"a"`
-	B      cove.Region   `json:"b"`
+	// A is one of the two regions.
+	A cove.Region `json:"a"`
+	// B is the other one.
+	B cove.Region `json:"b"`
+	// OneWay is the delay in one direction.
 	OneWay cove.Duration `json:"oneWay"`
 }
 
@@ -91,7 +100,7 @@
 
 // Stop holds the times of an orderly stop.
 type Stop struct {
-	// Linger is how long the host still serves callers that cache look-ups
+	// Linger is how long the host still serves callers that cache lookups
 	// after it has left them. Default: 12s.
 	Linger cove.Duration `json:"linger,omitempty"`
 	// Grace bounds the wait for running requests. Default: 60s.
--- a/internal/ops/admin/api.go
+++ b/internal/ops/admin/api.go
@@ -12,6 +12,7 @@
 	PathTable   = "/admin/table"
 	PathHistory = "/admin/table/history"
 	PathRestore = "/admin/table/restore"
+	PathRepair  = "/admin/table/repair"
 	PathKeys    = "/admin/keys"
 	PathDrain   = "/admin/drain"
 	PathLeave   = "/admin/leave"
--- a/internal/ops/admin/client.go
+++ b/internal/ops/admin/client.go
@@ -56,10 +56,17 @@
 	return resp, err
 }
 
-// Restore commits the newest snapshot again.
-func (c *Client) Restore(ctx context.Context) (ApplyResponse, error) {
+// Restore commits an earlier version again; 0 stands for the newest snapshot.
+func (c *Client) Restore(ctx context.Context, v cove.Version) (ApplyResponse, error) {
 	var resp ApplyResponse
-	err := c.call(ctx, http.MethodPost, PathRestore, nil, &resp)
+	err := c.call(ctx, http.MethodPost, PathRestore+"?version="+strconv.FormatUint(uint64(v), 10), nil, &resp)
+	return resp, err
+}
+
+// Repair writes the version in force back to a store that has lost it.
+func (c *Client) Repair(ctx context.Context) (ApplyResponse, error) {
+	var resp ApplyResponse
+	err := c.call(ctx, http.MethodPost, PathRepair, nil, &resp)
 	return resp, err
 }
 
--- a/internal/ops/cli/table.go
+++ b/internal/ops/cli/table.go
@@ -18,7 +18,8 @@
 	Diff    tableDiffCmd    `cmd:"" help:"Show what a file would change."`
 	Apply   tableApplyCmd   `cmd:"" help:"Commit the tables of a file."`
 	History tableHistoryCmd `cmd:"" help:"List the newest commits."`
-	Restore tableRestoreCmd `cmd:"" help:"Commit the newest snapshot again, after the store lost data."`
+	Restore tableRestoreCmd `cmd:"" help:"Commit an earlier version again, as a new one."`
+	Repair  tableRepairCmd  `cmd:"" help:"Write the version in force back to a store that has lost it."`
 }
 
 type tableGetCmd struct{}
@@ -104,10 +105,22 @@
 	})
 }
 
-type tableRestoreCmd struct{}
+type tableRepairCmd struct{}
+
+func (c *tableRepairCmd) Run(e *env) error {
+	resp, err := e.client.Repair(e.ctx)
+	if err != nil {
+		return err
+	}
+	return e.print(resp, func(w io.Writer) { fmt.Fprintf(w, "the store holds version %d\n", resp.Version) })
+}
+
+type tableRestoreCmd struct {
+	Version cove.Version `help:"Version to commit again. Default: that of the newest snapshot."`
+}
 
 func (c *tableRestoreCmd) Run(e *env) error {
-	resp, err := e.client.Restore(e.ctx)
+	resp, err := e.client.Restore(e.ctx, c.Version)
 	if err != nil {
 		return err
 	}
--- a/internal/ops/entry/adminport.go
+++ b/internal/ops/entry/adminport.go
@@ -71,6 +71,7 @@
 	mux.HandleFunc("POST "+admin.PathTable, a.apply)
 	mux.HandleFunc("GET "+admin.PathHistory, a.history)
 	mux.HandleFunc("POST "+admin.PathRestore, a.restore)
+	mux.HandleFunc("POST "+admin.PathRepair, a.repair)
 	mux.HandleFunc("POST "+admin.PathKeys, a.giveKey)
 	mux.HandleFunc("DELETE "+admin.PathKeys, a.withdrawKey)
 	mux.HandleFunc("POST "+admin.PathDrain, a.drain)
@@ -172,10 +173,26 @@
 }
 
 func (a *adminService) restore(w http.ResponseWriter, r *http.Request) {
-	res, err := a.d.feed.Restore(r.Context(), 0, a.meta("restore the newest snapshot"))
+	v, ok := a.version(w, r)
+	if !ok {
+		return
+	}
+	reason := "restore the newest snapshot"
+	if v > 0 {
+		reason = "restore version " + strconv.FormatUint(uint64(v), 10)
+	}
+	res, err := a.d.feed.Restore(r.Context(), v, a.meta(reason))
 	a.committed(w, res, err)
 }
 
+func (a *adminService) repair(w http.ResponseWriter, r *http.Request) {
+	if err := a.d.feed.Repair(r.Context()); err != nil {
+		a.failChange(w, err)
+		return
+	}
+	a.write(w, http.StatusOK, admin.ApplyResponse{Version: a.d.Version()})
+}
+
 func (a *adminService) giveKey(w http.ResponseWriter, r *http.Request) {
 	var req admin.KeyRequest
 	if !a.read(w, r, &req) {
@@ -234,13 +251,22 @@
 }
 
 func (a *adminService) inForce(w http.ResponseWriter, r *http.Request) {
+	v, ok := a.version(w, r)
+	if !ok {
+		return
+	}
+	c := a.d.feed.InForce(v)
+	a.write(w, http.StatusOK, admin.InForce{Version: c.Version, Confirmed: c.Confirmed, Missing: c.Missing})
+}
+
+// version reads the version of a request, or answers that it is not a number.
+func (a *adminService) version(w http.ResponseWriter, r *http.Request) (cove.Version, bool) {
 	v, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
 	if err != nil {
 		a.fail(w, http.StatusBadRequest, errors.Wrap(err, "version"))
-		return
+		return 0, false
 	}
-	c := a.d.feed.InForce(cove.Version(v))
-	a.write(w, http.StatusOK, admin.InForce{Version: c.Version, Confirmed: c.Confirmed, Missing: c.Missing})
+	return cove.Version(v), true
 }
 
 func (a *adminService) meta(reason string) feed.Meta {
