Tell contact with the store from freshness by the rule for an outage

Cause: a host that could not reach the store reported an outage although another host of its domain could still commit, and other domains relied on that. The transfer of a large version had only the time of a short call.

Change: answers to Follow carry the age of the last contact with the store as well; only a host without such contact counts as cut off. The next hosts of a domain go on reading while nobody else does.

--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -87,9 +87,11 @@
 	floor   cove.Version // the lowest version that may be in force
 	log     []entry      // the newest versions without a gap, up to cur
 	logSize int
-	changed chan struct{} // closed when cur changes
+	changed chan struct{} // closed when cur changes or fresh jumps
+	jumps   int
 	fresh   time.Time
-	snap    []byte // the encoded form of cur, if a peer has asked for it
+	synced  time.Time // like fresh, but only by contact with the store
+	snap    []byte    // the encoded form of cur, if a peer has asked for it
 	store   storeView
 	behind  cove.Version // a newer version seen at the last tick
 	misses  int          // failed attempts to follow since the last success
--- a/internal/state/feed/follow.go
+++ b/internal/state/feed/follow.go
@@ -25,6 +25,9 @@
 	// followPause is the wait after a failed attempt, or without a host to
 	// follow.
 	followPause = 200 * time.Millisecond
+	// outagePause is the wait of the first host of a domain that is fresh only
+	// by the rule for an outage and looks for a host that reaches the store.
+	outagePause = 500 * time.Millisecond
 	// rootFollowAge is the age of the last synchronisation after which the
 	// first host of a domain follows others.
 	rootFollowAge = 1500 * time.Millisecond
@@ -46,10 +49,15 @@
 
 func (f *Feed) followLoop(ctx context.Context) error {
 	for {
-		if f.followOnce(ctx, followWait) == nil {
+		err := f.followOnce(ctx, followWait)
+		if err == nil {
 			continue
 		}
-		if err := f.Clock.Sleep(ctx, followPause); err != nil {
+		pause := followPause
+		if errors.Is(err, errStaleSource) && f.age() < sourceAge {
+			pause = outagePause
+		}
+		if err := f.Clock.Sleep(ctx, pause); err != nil {
 			return err
 		}
 	}
@@ -61,11 +69,7 @@
 func (f *Feed) followOnce(ctx context.Context, wait time.Duration) error {
 	t := f.tree()
 	hosts := t.sources()
-	limit := sourceAge
-	if t.rank == 0 {
-		limit = rootFollowAge
-	}
-	stale := f.age() > limit
+	stale := f.needsSource(t)
 	if len(hosts) == 0 || t.rank == 0 && !stale {
 		return errNoSource
 	}
@@ -73,13 +77,24 @@
 		wait = 0
 	}
 	err := f.followHost(ctx, hosts[f.missed()%len(hosts)], wait)
-	if err == nil && f.age() > limit {
+	if err == nil && f.needsSource(t) {
 		err = errStaleSource
 	}
 	f.followed(err)
 	return err
 }
 
+// needsSource reports whether the host that is followed, or the store in the
+// case of the first host, does not keep this one fresh.
+func (f *Feed) needsSource(t tree) bool {
+	if t.rank > 0 {
+		return f.age() > sourceAge
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Clock.Now().Sub(f.synced) > rootFollowAge
+}
+
 // age returns the time since this host was fresh.
 func (f *Feed) age() time.Duration {
 	return f.Clock.Now().Sub(f.FreshAt())
@@ -109,10 +124,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	start := f.Clock.Now()
-	resp, err := client.Follow(ctx, &peerpb.FollowRequest{
+	resp, err := client.Follow(callCtx, &peerpb.FollowRequest{
 		Sender:  f.sender(),
 		Version: uint64(f.current().version()),
 		WaitMs:  uint32(wait.Milliseconds()),
@@ -141,15 +156,23 @@
 	if cur.version() == cove.Version(resp.Version) && !bytes.Equal(resp.Chain, cur.chain[:chainPrefix]) {
 		return errForked
 	}
-	if resp.AgeUs == 0 {
-		return nil
+	if resp.AgeUs > 0 {
+		f.sawFresh(peerTime(start, resp.HeldUs, resp.AgeUs))
+	}
+	if resp.SyncedAgeUs > 0 {
+		f.sawSynced(peerTime(start, resp.HeldUs, resp.SyncedAgeUs))
 	}
-	held := float64(resp.HeldUs) * (1 - clockError)
-	age := float64(resp.AgeUs) * (1 + clockError)
-	f.sawFresh(start.Add(time.Duration(held-age) * time.Microsecond))
 	return nil
 }
 
+// peerTime returns a time that is not later than the one whose age a peer has
+// given in its answer.
+func peerTime(start time.Time, heldUs, ageUs uint64) time.Time {
+	held := float64(heldUs) * (1 - clockError)
+	age := float64(ageUs) * (1 + clockError)
+	return start.Add(time.Duration(held-age) * time.Microsecond)
+}
+
 // fetch brings this host to the version of a peer.
 func (f *Feed) fetch(ctx context.Context, id cove.HostID) error {
 	client, err := f.client(id)
--- a/internal/state/feed/fresh.go
+++ b/internal/state/feed/fresh.go
@@ -14,6 +14,13 @@
 	noteInterval = time.Second
 	// failureAge is how long a failed attempt to reach the store counts.
 	failureAge = 2 * time.Second
+	// syncedAge is the age of the last contact with the store, direct or through
+	// peers, after which a host that cannot reach it counts as cut off. It is
+	// above the age that is normal for the first host of a domain.
+	syncedAge = 2 * time.Second
+	// freshJump is an advance of the fresh time that is passed on at once. It is
+	// above the advance by a verification in normal operation.
+	freshJump = 1400 * time.Millisecond
 	// flagUnreachable in a note means that the host cannot reach the store.
 	flagUnreachable = 1
 )
@@ -53,7 +60,7 @@
 func (f *Feed) postNote() {
 	now := f.Clock.Now()
 	f.mu.Lock()
-	value := noteValue{version: f.cur.version(), unreachable: !f.store.failed.IsZero()}
+	value := noteValue{version: f.cur.version(), unreachable: f.cutOffLocked(now)}
 	due := value != f.note.value || value.unreachable && now.Sub(f.note.at) >= noteInterval
 	if due {
 		f.note = postedNote{value: value, at: now}
@@ -81,11 +88,39 @@
 func (f *Feed) sawFresh(t time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t.After(f.fresh) {
-		f.fresh = t
+	if !t.After(f.fresh) {
+		return
+	}
+	jump := t.Sub(f.fresh) > freshJump
+	f.fresh = t
+	if jump {
+		f.jumps++
+		f.wakeLocked()
 	}
 }
 
+// wakeLocked ends the wait of the requests that this host holds.
+func (f *Feed) wakeLocked() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// sawSynced is like sawFresh for a time that goes back to contact with the store.
+func (f *Feed) sawSynced(t time.Time) {
+	f.sawFresh(t)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.After(f.synced) {
+		f.synced = t
+	}
+}
+
+// cutOffLocked reports whether neither this host nor one that it hears from can
+// reach the store.
+func (f *Feed) cutOffLocked(now time.Time) bool {
+	return !f.store.failed.IsZero() && now.Sub(f.synced) > syncedAge
+}
+
 // outageFresh applies the rule for an outage of the store: while this host and
 // every other failure domain cannot reach it, no change can be accepted.
 func (f *Feed) outageFresh() {
@@ -101,10 +136,10 @@
 		}
 	}
 	f.mu.Lock()
-	failed := f.store.failed
+	failed, cutOff := f.store.failed, f.cutOffLocked(now)
 	domains := f.otherDomainsLocked()
 	f.mu.Unlock()
-	if failed.IsZero() || now.Sub(failed) > failureAge {
+	if !cutOff || now.Sub(failed) > failureAge {
 		return
 	}
 	at := failed
--- a/internal/state/feed/publish.go
+++ b/internal/state/feed/publish.go
@@ -96,8 +96,7 @@
 	f.cur = next
 	f.extendLog(added)
 	f.snap = nil
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.wakeLocked()
 	f.mu.Unlock()
 	version := strconv.FormatUint(uint64(next.version()), 10)
 	f.count("published")
--- a/internal/state/feed/reader.go
+++ b/internal/state/feed/reader.go
@@ -18,8 +18,10 @@
 	// hundred writes a second.
 	verifyInterval = time.Second
 	// standbyAge is the age of the last synchronisation after which the next
-	// host of the domain reads the store as well, per place in the order.
-	standbyAge = 500 * time.Millisecond
+	// hosts of the domain read the store as well; standbyStep is added for
+	// each place in the order.
+	standbyAge  = 2 * time.Second
+	standbyStep = 500 * time.Millisecond
 	// standbyInterval is the time between two reads of such a host.
 	standbyInterval = time.Second
 	// standbyRanks is how many hosts after the first may do so. The number is
@@ -88,7 +90,8 @@
 }
 
 // mayRead reports whether this host reads the store now: the first live host
-// of the domain does always, the next ones do when nothing fresh reaches them.
+// of the domain does always, the next ones do when nothing fresh reaches them
+// and go on until they hear of a later synchronisation than their own.
 func (f *Feed) mayRead(now time.Time) bool {
 	rank := f.tree().rank
 	if rank == 0 {
@@ -99,7 +102,10 @@
 	if rank > standbyRanks || now.Sub(f.store.tried) < standbyInterval {
 		return false
 	}
-	return now.Sub(f.fresh) > verifyInterval+time.Duration(rank)*standbyAge
+	if !f.store.verified.IsZero() && !f.synced.After(f.store.verified) {
+		return true
+	}
+	return now.Sub(f.synced) > standbyAge+time.Duration(rank)*standbyStep
 }
 
 // view returns what is known of the store and notes an attempt to reach it.
@@ -244,7 +250,7 @@
 	}
 	switch view.health {
 	case healthOK, healthOlder, healthEmpty:
-		f.sawFresh(start)
+		f.sawSynced(start)
 	case healthDamaged:
 		f.judgeDeltas(ctx, start)
 	}
@@ -265,7 +271,7 @@
 			return
 		}
 	}
-	f.sawFresh(start)
+	f.sawSynced(start)
 }
 
 // contacted notes that the store answered.
--- a/internal/state/feed/serve.go
+++ b/internal/state/feed/serve.go
@@ -36,18 +36,18 @@
 	return f.followResponse(cove.Version(req.Version), start), nil
 }
 
-// hold waits until a version above v is in force, but not longer than wait.
+// hold waits until a version above v is known or the fresh time jumps, but not
+// longer than wait.
 func (f *Feed) hold(ctx context.Context, v cove.Version, wait time.Duration) error {
 	if wait <= 0 {
 		return nil
 	}
 	timer := f.Clock.NewTimer(wait)
 	defer timer.Stop()
+	_, before, _ := f.progress()
 	for {
-		f.mu.Lock()
-		have, changed := f.cur.version(), f.changed
-		f.mu.Unlock()
-		if have > v {
+		have, jumps, changed := f.progress()
+		if have > v || jumps != before {
 			return nil
 		}
 		select {
@@ -60,6 +60,14 @@
 	}
 }
 
+// progress returns the version, the number of jumps of the fresh time, and the
+// channel that is closed when one of them changes.
+func (f *Feed) progress() (cove.Version, int, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cur.version(), f.jumps, f.changed
+}
+
 func (f *Feed) followResponse(v cove.Version, start time.Time) *peerpb.FollowResponse {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -69,16 +77,23 @@
 		HeldUs:  uint64(now.Sub(start).Microseconds()),
 		Chain:   f.cur.chain[:chainPrefix],
 	}
-	if !f.fresh.IsZero() {
-		// Rounded up, and never 0, which means that there is no time.
-		resp.AgeUs = uint64(max(0, now.Sub(f.fresh).Microseconds())) + 1
-	}
+	resp.AgeUs = ageUs(now, f.fresh)
+	resp.SyncedAgeUs = ageUs(now, f.synced)
 	if entries, ok := f.sinceLocked(v); ok && sizeOf(entries) <= inlineBytes {
 		resp.Deltas = deltasOf(entries)
 	}
 	return resp
 }
 
+// ageUs returns the age of t in microseconds, rounded up. Zero means that t is
+// unset.
+func ageUs(now, t time.Time) uint64 {
+	if t.IsZero() {
+		return 0
+	}
+	return uint64(max(0, now.Sub(t).Microseconds())) + 1
+}
+
 func sizeOf(entries []entry) int {
 	n := 0
 	for _, e := range entries {
@@ -116,7 +131,8 @@
 		if !authenticated {
 			return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("no peer"))
 		}
-		err = f.fetch(ctx, from)
+		// The transfer may take longer than the sender waits.
+		err = f.fetch(context.WithoutCancel(ctx), from)
 	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
