Take the fraction out of the row of an orphaned domain

Cause: when a domain had left the table and its last host the register, its fraction was given to others but stayed in its row. Change: the same transaction sets the fraction in the row to zero.

--- a/internal/limit/share/bound_test.go
+++ b/internal/limit/share/bound_test.go
@@ -257,3 +257,26 @@
 		})
 	}
 }
+
+// Guards against a failure domain that left the table without hosts, whose
+// fraction was given to others, and that uses it again when a host with an older
+// table registers there.
+func TestOrphanedFraction(t *testing.T) {
+	m := newSim(1, 2, 2, cove.TeamRow{Name: "team", Rate: 100, Burst: 50})
+	for _, h := range m.hosts {
+		h.boot()
+	}
+	m.run(10*time.Second, nil)
+	m.stop(m.hosts[1])
+	m.changeTable(func(t *cove.Table) { t.Domains = t.Domains[:1] })
+	m.hosts[0].setTable()
+	m.run(10*time.Second, nil)
+	if got := m.hosts[0].s.row.Fraction; got != whole {
+		t.Fatalf("the remaining domain has a fraction of %d", got)
+	}
+	m.hosts[1].boot()
+	m.run(10*time.Second, nil)
+	if m.oracle.failed != nil {
+		t.Error(m.oracle.failed)
+	}
+}
--- a/internal/limit/share/fraction.go
+++ b/internal/limit/share/fraction.go
@@ -101,9 +101,11 @@
 }
 
 // freeOrphans drops the fractions of domains that the table no longer has and
-// that have no registered host. It returns the conditions for that.
+// that have no registered host. It returns the writes that take the fraction
+// out of the rows of these domains, so that a host which registers there later
+// has none.
 func (s *Service) freeOrphans(ctx context.Context, ceilings map[cove.Domain]int64) ([]cove.Write, error) {
-	var checks []cove.Write
+	var writes []cove.Write
 	for _, d := range s.unknownDomains(ceilings) {
 		got, err := s.cfg.Store.Get(ctx, rowKey(d))
 		if err != nil && !errors.Is(err, cove.ErrNotFound) {
@@ -116,10 +118,16 @@
 		if len(r.Hosts) > 0 {
 			continue
 		}
+		r.setFraction(0)
+		r.Ceiling = 0
+		b, err := r.encode()
+		if err != nil {
+			return nil, err
+		}
 		delete(ceilings, d)
-		checks = append(checks, cove.Write{Key: rowKey(d), IfRevision: got.Revision, Check: true})
+		writes = append(writes, cove.Write{Key: rowKey(d), IfRevision: got.Revision, Value: b})
 	}
-	return checks, nil
+	return writes, nil
 }
 
 func (s *Service) unknownDomains(ceilings map[cove.Domain]int64) []cove.Domain {
