Let a paused host keep slots that it was not removed from

Cause: a host that was paused while another one was down waited for its agreement without end. A reset did not always reach the held counts either. Change: a read of the register begun after the pause that still shows the incarnation restores the slots. A reset applies the held counts at once. Conclusion: registers should offer Checked, the time of their last read.

--- a/internal/limit/admit/admit_test.go
+++ b/internal/limit/admit/admit_test.go
@@ -9,6 +9,7 @@
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/group"
+	"turmericcove.org/cove/internal/limit/ramp"
 )
 
 var onePool = []cove.PoolWeight{{Pool: testPool, Weight: 1}}
@@ -288,3 +289,44 @@
 		})
 	}
 }
+
+// Guards against a host that is paused while another one is down, and never
+// gets its slots back although it was not removed; and against one that uses
+// them again although it was.
+func TestPause(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		w := settledWorld(testTable(testSlots, 2, "d0"), "d0", "d0", "d0")
+		h := w.hosts[0]
+		// The held slots are then applied on a change only.
+		for range 3 * int(ramp.LoanHorizon/stepInterval) {
+			w.round()
+		}
+		before := held(h)
+		w.hosts[1].down = true
+		h.paused = true
+		for range 2 * int(pauseLimit/stepInterval) {
+			w.round()
+		}
+		if removed {
+			w.remove(h)
+		}
+		w.hosts[2].down = true
+		h.paused = false
+		if err := h.admit(cove.WorkClass{}); reason(err) != cove.ReasonPaused {
+			t.Errorf("right after the pause: %v", err)
+		}
+		if h.adm.Step(); held(h) != 0 {
+			t.Errorf("%d slots are held before a register or the other hosts confirm them", held(h))
+		}
+		for range 10 {
+			w.round()
+		}
+		err := h.admit(cove.WorkClass{})
+		if !removed && (err != nil || held(h) != before) {
+			t.Errorf("not removed: %v, holds %d of %d", err, held(h), before)
+		}
+		if removed && err == nil {
+			t.Error("a removed host admits work")
+		}
+	}
+}
--- a/internal/limit/admit/step.go
+++ b/internal/limit/admit/step.go
@@ -177,14 +177,40 @@
 	if last != 0 && now.UnixNano()-last > int64(pauseLimit) {
 		a.paused.Store(true)
 		a.resumed = now
+		a.changed = now
 		a.holder.Reset()
 		a.Events.Emit("admit.paused", "no step for "+time.Duration(now.UnixNano()-last).String())
 	}
-	if a.paused.Load() && a.heard() {
+	if !a.paused.Load() {
+		return
+	}
+	if a.stillRegistered() && a.holder.Restore() {
+		a.changed = now
+		a.paused.Store(false)
+	}
+	if a.heard() {
 		a.paused.Store(false)
 	}
 }
 
+// checker is a register that tells how current it is.
+type checker interface {
+	// Checked returns when the last successful read of the register of the own
+	// domain was begun.
+	Checked() time.Time
+}
+
+// stillRegistered reports whether a read of the register since the pause shows
+// this incarnation. Without such a read the other hosts have to agree again.
+func (a *Admitter) stillRegistered() bool {
+	c, ok := a.Register.(checker)
+	if !ok || !c.Checked().After(a.resumed) {
+		return false
+	}
+	own := cove.Registered{ID: a.Self.ID, Incarnation: a.Self.Incarnation}
+	return slices.Contains(a.Register.Registered(a.Self.Domain), own)
+}
+
 // heard reports whether a host that could take over slots has been heard from
 // since the pause, or there is none.
 func (a *Admitter) heard() bool {
--- a/internal/limit/admit/world_test.go
+++ b/internal/limit/admit/world_test.go
@@ -37,6 +37,7 @@
 	paused  bool
 	cut     bool
 	view    map[cove.Domain][]cove.Registered
+	synced  time.Time
 	posted  map[string]cove.Note
 	board   map[string]cove.Note // latest received, by topic, scope and sender
 	running []cove.Permit
@@ -74,6 +75,7 @@
 
 // sync refreshes the host's view of the register.
 func (h *host) sync() {
+	h.synced = h.w.clock.Now()
 	h.view = make(map[cove.Domain][]cove.Registered)
 	for d, rs := range h.w.register {
 		h.view[d] = rs
@@ -151,6 +153,7 @@
 type membersOf struct{ *host }
 
 func (registerOf) Watch(func())             {}
+func (r registerOf) Checked() time.Time     { return r.synced }
 func (membersOf) Watch(func([]cove.Member)) {}
 func (h *host) Watch(fn func(*cove.Table))  { fn(h.w.table) }
 func (h *host) Current() *cove.Table        { return h.w.table }
--- a/internal/limit/slot/holder.go
+++ b/internal/limit/slot/holder.go
@@ -45,12 +45,21 @@
 	cleared  bool   // no other domain uses the slots of this one
 	kept     bool
 	released bool
+	before   *standing // what Reset has given up
 	seq      uint32
 	gone     map[cove.Incarnation]bool
 	posted   []byte
 	postedUp []byte
 }
 
+// standing is what a host holds in agreement with the others.
+type standing struct {
+	views   []view
+	agreed  bool
+	cleared bool
+	kept    bool
+}
+
 // SetSiblings names the other failure domains of the region.
 func (h *Holder) SetSiblings(domains []cove.Domain) {
 	h.siblings = slices.Clone(domains)
@@ -92,6 +101,9 @@
 	if v == nil || h.released {
 		return
 	}
+	if h.before == nil {
+		h.before = &standing{views: h.views, agreed: h.agreed, cleared: h.cleared, kept: h.kept}
+	}
 	h.views = []view{{self: -1}, *v}
 	h.adopted = false
 	h.agreed = false
@@ -100,6 +112,22 @@
 	h.seq++
 }
 
+// Restore takes back what Reset has given up. The caller must know from a read
+// of the register, begun after the pause, that this incarnation has not been
+// removed: nobody can have taken over its slots then. It reports whether there
+// was anything to take back; a change of the register in between rules it out.
+func (h *Holder) Restore() bool {
+	if h.before == nil || h.released {
+		return false
+	}
+	h.views = h.before.views
+	h.agreed = h.before.agreed
+	h.cleared = h.before.cleared
+	h.kept = h.before.kept
+	h.before = nil
+	return true
+}
+
 // Release gives up all slots for good. The caller has to have ended all work.
 func (h *Holder) Release() error {
 	h.released = true
@@ -198,6 +226,7 @@
 }
 
 func (h *Holder) adopt() {
+	h.before = nil
 	v := h.newest()
 	switch {
 	case v == nil:
@@ -221,6 +250,7 @@
 // agree puts the newest view in force alone.
 func (h *Holder) agree() {
 	h.views = []view{*h.newest()}
+	h.before = nil
 	h.agreed = true
 	h.kept = true
 }
