Count open requests against a reported room, not sends

Cause: room is a number of free slots, but every send of the last seconds was subtracted from it. A host that sent short requests ran out of a room that was free, and refused or queued requests without need. Change: only sends that have not ended are subtracted, for domains and for hosts of the own domain. Figures: TestDomainsCountOpenRequests sends 2,000 requests of 1 ms in 2 s through a part of 10 slots without a refusal, and opens 10 at most. Conclusion: open requests stay bounded by the room.

--- a/internal/limit/admit/fair_test.go
+++ b/internal/limit/admit/fair_test.go
@@ -177,3 +177,23 @@
 		}
 	}
 }
+
+// Guards against a queue that serves or drops by arrival instead of priority.
+func TestQueuePriority(t *testing.T) {
+	q := &queue{max: 2}
+	at := func(priority int) *waiter { return &waiter{work: cove.WorkClass{Priority: priority}} }
+	low, mid, high := at(0), at(1), at(2)
+	if q.push(low) != nil || q.push(mid) != nil {
+		t.Fatal("a waiter was dropped from a queue with room")
+	}
+	if dropped := q.push(high); dropped != low {
+		t.Errorf("dropped %+v, want the lowest priority", dropped)
+	}
+	again := at(0)
+	if dropped := q.push(again); dropped != again {
+		t.Errorf("dropped %+v, want the new one of the lowest priority", dropped)
+	}
+	if first, second := q.pop(), q.pop(); first != high || second != mid {
+		t.Errorf("served %+v, %+v", first, second)
+	}
+}
--- a/internal/limit/admit/permit.go
+++ b/internal/limit/admit/permit.go
@@ -60,19 +60,17 @@
 		// The charge stays when the size of a sent request is unknown.
 		pm.link.correct(now, res.Bytes-pm.bytes)
 	}
-	if res.Canceled {
-		return
-	}
 	reason := refusalReason(res.Err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pm.target.Domain == p.a.Self.Domain {
-		if reason != "" {
-			p.peerFull(pm.peer)
-		}
-		return
+	switch {
+	case pm.target.Domain == p.a.Self.Domain:
+		p.peerDone(pm.peer, reason != "")
+	case res.Canceled:
+		p.domains.Canceled(pm.target.Domain)
+	default:
+		p.domains.Done(pm.target.Domain, res.Shed || reason != "")
 	}
-	p.domains.Done(pm.target.Domain, res.Shed || reason != "")
 	if reason == cove.ReasonShiftCap {
 		p.closeRamp(pm.target.Domain, now)
 	}
--- a/internal/limit/admit/place.go
+++ b/internal/limit/admit/place.go
@@ -31,12 +31,19 @@
 type peerRoom struct {
 	host cove.HostID
 	free int
-	// version tells reports apart, so that own sends are subtracted until the
-	// next one, or until peerRefresh has passed since the report was taken over.
+	// sent counts own sends since the report, out those that have not ended.
+	sent int
+	out  int
+	// version tells reports apart. A report that does not change counts as a
+	// new one after peerRefresh.
 	version []byte
 	since   time.Time
 }
 
+// room estimates the room that is left: requests that have ended need none, and
+// those sent before the report are in it.
+func (r *peerRoom) room() int { return r.free - min(r.sent, r.out) }
+
 // now decides about a request without waiting. It returns neither a permit nor
 // a refusal when the request is to wait here.
 func (p *pool) now(pl *plan, work *cove.WorkClass, ex *cove.Exclude, moved bool, now time.Time) (*permit, *cove.Refusal) {
@@ -76,7 +83,7 @@
 // elsewhere reports whether another host is likely to have room.
 func (p *pool) elsewhere() bool {
 	for i := range p.peers {
-		if p.peers[i].free > 0 {
+		if p.peers[i].room() > 0 {
 			return true
 		}
 	}
@@ -94,7 +101,8 @@
 func (p *pool) forward(pl *plan, work *cove.WorkClass, ex *cove.Exclude, moved bool, wait time.Duration, local bool, now time.Time) (*permit, *cove.Refusal) {
 	if !slices.Contains(ex.Domains, p.a.Self.Domain) {
 		if peer := p.choosePeer(); peer != nil {
-			peer.free--
+			peer.sent++
+			peer.out++
 			return p.permitFor(peer.host, p.a.Self.Domain, moved), nil
 		}
 	}
@@ -181,26 +189,32 @@
 		return nil
 	}
 	a, b := &p.peers[rand.IntN(n)], &p.peers[rand.IntN(n)]
-	if b.free > a.free {
+	if b.room() > a.room() {
 		a = b
 	}
-	if a.free > 0 {
+	if a.room() > 0 {
 		return a
 	}
 	start := rand.IntN(n)
 	for i := range n {
-		if peer := &p.peers[(start+i)%n]; peer.free > 0 {
+		if peer := &p.peers[(start+i)%n]; peer.room() > 0 {
 			return peer
 		}
 	}
 	return nil
 }
 
-// peerFull records a refusal by another host of the domain.
-func (p *pool) peerFull(id cove.HostID) {
+// peerDone records the end of a request at another host of the domain. One that
+// has refused it has no room until its next report.
+func (p *pool) peerDone(id cove.HostID, refused bool) {
 	for i := range p.peers {
-		if p.peers[i].host == id {
-			p.peers[i].free = 0
+		r := &p.peers[i]
+		if r.host != id {
+			continue
+		}
+		r.out = max(0, r.out-1)
+		if refused {
+			r.free = 0
 		}
 	}
 }
--- a/internal/limit/admit/room.go
+++ b/internal/limit/admit/room.go
@@ -101,8 +101,8 @@
 	return out
 }
 
-// setPeers replaces the room of the other hosts of the domain. A host whose
-// report is the same as before keeps the room that own sends have left.
+// setPeers replaces the room of the other hosts of the domain. Own sends stay
+// subtracted from a report that is the same as before.
 func (p *pool) setPeers(next []peerRoom, live map[cove.HostID]bool, now time.Time) {
 	kept := next[:0]
 	for _, n := range next {
@@ -112,9 +112,12 @@
 		n.since = now
 		for i := range p.peers {
 			old := &p.peers[i]
-			if old.host == n.host && bytes.Equal(old.version, n.version) && now.Sub(old.since) < peerRefresh {
-				n.free = min(n.free, old.free)
-				n.since = old.since
+			if old.host != n.host {
+				continue
+			}
+			n.out = old.out
+			if bytes.Equal(old.version, n.version) && now.Sub(old.since) < peerRefresh {
+				n.free, n.sent, n.since = old.free, old.sent, old.since
 			}
 		}
 		kept = append(kept, n)
--- a/internal/route/pick/domain.go
+++ b/internal/route/pick/domain.go
@@ -56,8 +56,10 @@
 	trust     float64
 	weight    float64
 	lastProbe time.Time
-	sent      [sentSlots]int32
-	sentAt    int64
+	// outstanding are the own requests that have not ended.
+	outstanding int
+	sent        [sentSlots]int32
+	sentAt      int64
 }
 
 // Pick implements cove.Picker.
@@ -99,7 +101,10 @@
 	if math.Abs(budget-s.weight) > hysteresis*s.weight {
 		s.weight = budget
 	}
-	return budget - float64(s.sentSince(now, c.LoadAge))
+	// Requests that have ended need no room, and those sent before the report
+	// are in it.
+	unseen := min(s.outstanding, s.sentSince(now, c.LoadAge))
+	return budget - float64(unseen)
 }
 
 // probe returns a domain without known room that has not been tried for
@@ -122,6 +127,7 @@
 func (d *Domains) Sent(name cove.Domain, now time.Time) {
 	s := d.get(name)
 	s.lastProbe = now
+	s.outstanding++
 	s.advance(now)
 	s.sent[s.sentAt%sentSlots]++
 }
@@ -129,6 +135,7 @@
 // Done records how a request to a domain ended. A refusal for lack of room
 // means that others send there too: it halves the trust in the reports.
 func (d *Domains) Done(name cove.Domain, refused bool) {
+	d.Canceled(name)
 	s := d.get(name)
 	if refused {
 		s.trust = max(s.trust/2, trustMin)
@@ -137,6 +144,13 @@
 	s.trust += (1 - s.trust) * trustStep
 }
 
+// Canceled records the end of a request that says nothing of its domain.
+func (d *Domains) Canceled(name cove.Domain) {
+	s := d.get(name)
+	s.outstanding = max(0, s.outstanding-1)
+}
+
+// cached returns the state of candidate i.
 func (d *Domains) cached(i int, name cove.Domain) *domainState {
 	for len(d.recent) <= i {
 		d.recent = append(d.recent, nil)
--- a/internal/route/pick/pick_test.go
+++ b/internal/route/pick/pick_test.go
@@ -152,3 +152,27 @@
 		t.Errorf("%d changes of domain under steady room", changes)
 	}
 }
+
+// Guards against short requests that use up a room although they have ended, and
+// against more open requests than the room.
+func TestDomainsCountOpenRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cs := []cove.Candidate{{Domain: "d", Free: 40, Limit: 100, LoadAge: time.Second, Health: 1}}
+	d := Domains{Share: 0.25}
+	for i := range 2000 {
+		now = now.Add(time.Millisecond)
+		if d.Pick(cs, &cove.WorkClass{Block: uint64(i)}, now) != 0 {
+			t.Fatalf("request %d is refused, with none open", i)
+		}
+		d.Sent("d", now)
+		d.Done("d", false)
+	}
+	open := 0
+	for d.Pick(cs, &cove.WorkClass{}, now) == 0 {
+		d.Sent("d", now)
+		open++
+	}
+	if open != 10 {
+		t.Errorf("%d open requests, want the part of 10", open)
+	}
+}
