--- a/internal/limit/admit/permit.go
+++ b/internal/limit/admit/permit.go
@@ -63,17 +63,16 @@
 	reason := refusalReason(res.Err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pm.target.Domain == p.a.Self.Domain {
+	switch {
+	case pm.target.Domain == p.a.Self.Domain:
 		p.peerDone(pm.peer, reason != "")
-		return
+	case res.Canceled:
+		p.domains.Canceled(pm.target.Domain)
+	default:
+		p.domains.Done(pm.target.Domain, reason != "" && reason != cove.ReasonShiftCap)
 	}
-	p.domains.Done(pm.target.Domain, now)
-	switch reason {
-	case "":
-	case cove.ReasonShiftCap:
+	if reason == cove.ReasonShiftCap {
 		p.closeRamp(pm.target.Domain, now)
-	default:
-		p.domains.Refused(pm.target.Domain)
 	}
 }
 
--- a/internal/route/pick/domain.go
+++ b/internal/route/pick/domain.go
@@ -28,10 +28,10 @@
 	trustDrop = 0.8
 	// trustStep is how much of the way to full trust one success regains.
 	trustStep = 0.05
-	// pastSlots and pastWidth give the memory of the own requests in progress.
-	// It has to cover the largest usual lag of reports.
-	pastSlots = 16
-	pastWidth = 500 * time.Millisecond
+	// sentSlots and sentWidth give the memory of own recent sends. It has to
+	// cover the largest usual lag of reports.
+	sentSlots = 16
+	sentWidth = 500 * time.Millisecond
 )
 
 // Domains chooses a failure domain among candidates whose Free is the reported
@@ -58,11 +58,10 @@
 	trust     float64
 	weight    float64
 	lastProbe time.Time
-	// open counts the own requests in progress, past what it was at the
-	// beginning of recent intervals.
-	open   int32
-	past   [pastSlots]int32
-	pastAt int64
+	// outstanding are the own requests that have not ended.
+	outstanding int
+	sent        [sentSlots]int32
+	sentAt      int64
 }
 
 // Pick implements cove.Picker.
@@ -104,7 +103,10 @@
 	if math.Abs(budget-s.weight) > hysteresis*s.weight {
 		s.weight = budget
 	}
-	return budget - float64(s.grown(now, c.LoadAge))
+	// Requests that have ended need no room, and those sent before the report
+	// are in it.
+	unseen := min(s.outstanding, s.sentSince(now, c.LoadAge))
+	return budget - float64(unseen)
 }
 
 // probe returns a domain without known room that has not been tried for
@@ -127,25 +129,30 @@
 func (d *Domains) Sent(name cove.Domain, now time.Time) {
 	s := d.get(name)
 	s.lastProbe = now
+	s.outstanding++
 	s.advance(now)
-	s.open++
+	s.sent[s.sentAt%sentSlots]++
 }
 
-// Done records that a request to a domain has ended.
-func (d *Domains) Done(name cove.Domain, now time.Time) {
+// Done records how a request to a domain ended. A refusal for lack of room
+// means that others send there too: it lowers the trust in the reports.
+func (d *Domains) Done(name cove.Domain, refused bool) {
+	d.Canceled(name)
 	s := d.get(name)
-	s.advance(now)
-	s.open = max(0, s.open-1)
+	if refused {
+		s.trust = max(s.trust*trustDrop, trustMin)
+		return
+	}
 	s.trust += (1 - s.trust) * trustStep
 }
 
-// Refused records that a domain had no room for a request. That means that
-// others send there too, so it lowers the trust in the reports.
-func (d *Domains) Refused(name cove.Domain) {
+// Canceled records the end of a request that says nothing of its domain.
+func (d *Domains) Canceled(name cove.Domain) {
 	s := d.get(name)
-	s.trust = max(s.trust*trustDrop, trustMin)
+	s.outstanding = max(0, s.outstanding-1)
 }
 
+// cached returns the state of candidate i.
 func (d *Domains) cached(i int, name cove.Domain) *domainState {
 	for len(d.recent) <= i {
 		d.recent = append(d.recent, nil)
@@ -187,28 +194,31 @@
 // curve is the slope of the parabola at 0 that lies closest to log2(1+x).
 const curve = 1.3465
 
-// advance moves the ring of past values to the present.
+// advance moves the ring of own sends to the present.
 func (s *domainState) advance(now time.Time) {
-	at := now.UnixNano() / int64(pastWidth)
-	if at <= s.pastAt {
+	at := now.UnixNano() / int64(sentWidth)
+	if at <= s.sentAt {
 		return
 	}
-	for k := max(s.pastAt+1, at-pastSlots+1); k <= at; k++ {
-		s.past[k%pastSlots] = s.open
+	for k := max(s.sentAt+1, at-sentSlots+1); k <= at; k++ {
+		s.sent[k%sentSlots] = 0
 	}
-	s.pastAt = at
+	s.sentAt = at
 }
 
-// grown returns by how much the own requests in progress have grown since a
-// report of this age. Counting the sends instead would take a slot that serves
-// many requests during the lag of a report for one that serves a single one.
-func (s *domainState) grown(now time.Time, age time.Duration) int32 {
+// sentSince returns the own sends that a report of this age cannot show.
+func (s *domainState) sentSince(now time.Time, age time.Duration) int {
 	s.advance(now)
-	back := int64(age/pastWidth) + 1
-	if back >= pastSlots || s.pastAt < back {
-		return s.open
+	buckets := min(int(age/sentWidth)+1, sentSlots)
+	sum := 0
+	for k := range buckets {
+		at := s.sentAt - int64(k)
+		if at < 0 {
+			break
+		}
+		sum += int(s.sent[at%sentSlots])
 	}
-	return s.open - s.past[(s.pastAt-back)%pastSlots]
+	return sum
 }
 
 // freshness discounts a room report by its age.
