--- a/internal/bench/link/conn.go
+++ b/internal/bench/link/conn.go
@@ -96,7 +96,7 @@
 func (c *conn) readDirect(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		c.net.Bytes.Add(int64(n))
+		c.net.count(c.pair, n)
 		if err != nil || !c.dead.Load() {
 			return n, err
 		}
@@ -108,7 +108,7 @@
 	if c.dead.Load() {
 		return len(b), nil
 	}
-	c.net.Bytes.Add(int64(len(b)))
+	c.net.count(c.pair, len(b))
 	if c.delay == 0 {
 		return c.Conn.Write(b)
 	}
@@ -150,7 +150,7 @@
 	for {
 		buf := make([]byte, chunkBytes)
 		n, err := c.Conn.Read(buf)
-		c.net.Bytes.Add(int64(n))
+		c.net.count(c.pair, n)
 		if c.dead.Load() && err == nil {
 			continue
 		}
--- a/internal/bench/link/link.go
+++ b/internal/bench/link/link.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -16,8 +15,9 @@
 type Network struct {
 	// Delay returns the one-way delay of a pair; nil means none.
 	Delay func(Pair) time.Duration
-	// Bytes counts what was sent and received over all connections.
-	Bytes atomic.Int64
+	// Count is called with the bytes sent and received over each connection;
+	// nil means that nothing counts them.
+	Count func(Pair, int)
 
 	mu    sync.Mutex
 	cut   map[Pair]bool
@@ -79,6 +79,12 @@
 	}
 }
 
+func (n *Network) count(p Pair, bytes int) {
+	if n.Count != nil {
+		n.Count(p, bytes)
+	}
+}
+
 func (n *Network) isCut(p Pair) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,7 +24,6 @@
 	// readyTimeout bounds the wait for a fleet to be ready.
 	readyTimeout = 15 * time.Second
 	readyPoll    = 20 * time.Millisecond
-	// noCauseIn is the time without a fault of the platform's list of hosts.
 	platformName = "platform"
 )
 
@@ -51,8 +51,11 @@
 	Config
 	Platform *platf.Platform
 	Network  link.Network
-	Hosts    []*Host
-	Servers  map[cove.ServerID]*server.Server
+	// PeerBytes and PlatformBytes count what all hosts exchanged.
+	PeerBytes, PlatformBytes atomic.Int64
+
+	Hosts   []*Host
+	Servers map[cove.ServerID]*server.Server
 	// Table is what was applied at the start, with the addresses in use.
 	Table *cove.Table
 
@@ -69,6 +72,7 @@
 	if cfg.Delays {
 		r.Network.Delay = r.delay
 	}
+	r.Network.Count = r.count
 	for _, step := range []func(context.Context) error{r.startPlatform, r.startServers, r.startHosts, r.commitTables, r.AwaitReady} {
 		if err := step(ctx); err != nil {
 			r.Stop()
@@ -78,6 +82,14 @@
 	return r, nil
 }
 
+func (r *Rig) count(p link.Pair, bytes int) {
+	if p.To == platformName {
+		r.PlatformBytes.Add(int64(bytes))
+		return
+	}
+	r.PeerBytes.Add(int64(bytes))
+}
+
 // delay returns the one-way delay between two hosts or a host and the platform.
 func (r *Rig) delay(p link.Pair) time.Duration {
 	from, to := r.hostDomain[p.From], r.hostDomain[p.To]
--- a/internal/bench/trial/judge.go
+++ b/internal/bench/trial/judge.go
@@ -18,7 +18,7 @@
 		RegionOverload:            t.over,
 		StoreReads:                r.store.Reads,
 		StoreWrites:               r.store.Commits,
-		ControlBytesPerHostSecond: r.controlBps,
+		ControlBytesPerHostSecond: r.peerBps + r.platformBps,
 		Refusals:                  r.counts.withPrefix("refusal."),
 		Retries:                   r.counts.withPrefix("retry."),
 		ConfigReverts:             int(r.counts.m["config.reverted"]),
--- a/internal/bench/trial/run.go
+++ b/internal/bench/trial/run.go
@@ -23,7 +23,7 @@
 	requestTimeout = 15 * time.Second
 	maxOpen        = 4000
 	// idleWindow is the time without load over which control bytes are counted.
-	idleWindow = 2 * time.Second
+	idleWindow = 3 * time.Second
 	// basePart is the part of the run in which requests go straight to the
 	// backend servers.
 	basePart    = 5
@@ -61,8 +61,9 @@
 	counts  counters
 
 	base, main []load.Record
-	controlBps float64
-	store      platf.Counts
+	// peerBps and platformBps are control bytes a second and host.
+	peerBps, platformBps float64
+	store                platf.Counts
 }
 
 // Run runs a case.
@@ -124,10 +125,11 @@
 
 // measureIdle counts the bytes between hosts and to the platform without load.
 func (r *run) measureIdle() {
-	before := r.rig.Network.Bytes.Load()
+	peers, platform := r.rig.PeerBytes.Load(), r.rig.PlatformBytes.Load()
 	time.Sleep(idleWindow)
-	bytes := r.rig.Network.Bytes.Load() - before
-	r.controlBps = float64(bytes) / idleWindow.Seconds() / float64(len(r.rig.Hosts))
+	perHost := idleWindow.Seconds() * float64(len(r.rig.Hosts))
+	r.peerBps = float64(r.rig.PeerBytes.Load()-peers) / perHost
+	r.platformBps = float64(r.rig.PlatformBytes.Load()-platform) / perHost
 }
 
 // sendDirect sends the same requests straight to the backend servers, each to
--- a/internal/bench/trial/series.go
+++ b/internal/bench/trial/series.go
@@ -21,6 +21,8 @@
 	OK      []float64
 	Refused []float64
 	P99Ms   []float64
+	// PeerBps and PlatformBps are control bytes a second and host without load.
+	PeerBps, PlatformBps float64
 	// Routes holds the latency by kind of request.
 	Routes []RouteLatency
 }
@@ -33,7 +35,7 @@
 
 func (r *run) series() *Series {
 	n := int(time.Duration(r.Duration)/time.Second) + 1
-	s := &Series{Title: r.Name + " " + r.Deployment + " " + r.Policy}
+	s := &Series{Title: r.Name + " " + r.Deployment + " " + r.Policy, PeerBps: r.peerBps, PlatformBps: r.platformBps}
 	buckets := make([][]load.Record, n)
 	for _, rec := range r.main {
 		i := min(int(rec.Sent/time.Second), n-1)
@@ -75,6 +77,7 @@
 	for _, l := range s.Routes {
 		fmt.Fprintf(tw, "%s\tp50 %.1f ms\tp99 %.1f ms\t\n", l.Name, l.P50Ms, l.P99Ms)
 	}
+	fmt.Fprintf(tw, "control\tpeers %.0f B/s\tplatform %.0f B/s\t\n", s.PeerBps, s.PlatformBps)
 	return errors.Wrap(tw.Flush(), "write course")
 }
 
