--- a/internal/route/proxy/fakes_test.go
+++ b/internal/route/proxy/fakes_test.go
@@ -236,6 +236,7 @@
 		{Name: "proofs", PathPrefix: "/proofs", Pools: pools, Teams: teams, Idempotent: true, Deadline: cove.Duration(5 * time.Second),
 			Retry: cove.RetryPolicy{Attempts: 3, Hedge: true}},
 		{Name: "hurry", PathPrefix: "/hurry", Pools: pools, Open: true, Deadline: cove.Duration(150 * time.Millisecond)},
+		{Name: "brief", PathPrefix: "/brief", Pools: pools, Open: true, Deadline: cove.Duration(80 * time.Millisecond)},
 		{Name: "status", PathPrefix: "/status", Methods: []string{"GET", "HEAD"}, Pools: pools, Open: true, Idempotent: true},
 		{Name: "open", PathPrefix: "/open", Pools: pools, Open: true},
 		{Name: "accounts", PathPrefix: "/accounts", Pools: pools, Teams: []cove.Team{"studio-b"}, Key: cove.KeyPlace{Header: "X-Account-Key"}},
