--- a/internal/state/table/bench_test.go
+++ b/internal/state/table/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -66,5 +67,10 @@
 	team := &table.Changes{Teams: []table.Edit[table.TeamHead]{{New: &table.TeamHead{Name: "red"}}}}
 	run("applyTeam", func() error { _, err := team.Apply(t, 2); return err })
 	run("encodeSnapshot", func() error { _, err := table.EncodeSnapshot(t, table.Chain{}); return err })
+	file, err := json.Marshal(t)
+	if err != nil {
+		b.Fatal(err)
+	}
+	run("parseFile", func() error { _, err := table.ParseFile(file); return err })
 	run("decodeSnapshot", func() error { _, err := table.DecodeSnapshot(snap); return err })
 }
--- a/internal/state/table/parse.go
+++ b/internal/state/table/parse.go
@@ -29,8 +29,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "table file")
 	}
-	c := &shapeChecker{lines: newLineIndex(data)}
-	c.check(root, reflect.TypeFor[cove.Table](), "")
+	c := &shapeChecker{lines: newLineIndex(data), fields: make(map[reflect.Type]map[string]reflect.Type)}
+	c.check(root, reflect.TypeFor[cove.Table]())
 	if err := c.faults.err(); err != nil {
 		return nil, err
 	}
@@ -64,100 +64,142 @@
 type shapeChecker struct {
 	lines  lineIndex
 	faults Faults
+	// path leads to the present value. It is made into text only for a fault,
+	// because a file may have hundreds of thousands of rows.
+	path   []pathStep
+	fields map[reflect.Type]map[string]reflect.Type
 }
 
-func (c *shapeChecker) add(v hujson.Value, field, format string, args ...any) {
+// pathStep is a field, or an element when the name is empty.
+type pathStep struct {
+	name  string
+	index int
+}
+
+func (c *shapeChecker) add(v hujson.Value, format string, args ...any) {
 	c.faults = append(c.faults, Fault{
-		Line: c.lines.line(v.StartOffset), Field: field, Problem: fmt.Sprintf(format, args...),
+		Line: c.lines.line(v.StartOffset), Field: c.field(), Problem: fmt.Sprintf(format, args...),
 	})
 }
 
-func (c *shapeChecker) check(v hujson.Value, t reflect.Type, field string) {
-	if reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
-		c.checkText(v, t, field)
-		return
+// field returns the path as text.
+func (c *shapeChecker) field() string {
+	var b strings.Builder
+	for i, s := range c.path {
+		switch {
+		case s.name == "":
+			fmt.Fprintf(&b, "[%d]", s.index)
+		case i > 0:
+			b.WriteString("." + s.name)
+		default:
+			b.WriteString(s.name)
+		}
 	}
-	switch t.Kind() {
-	case reflect.Struct:
-		c.checkObject(v, t, field)
-	case reflect.Slice:
-		c.checkArray(v, t, field)
+	return b.String()
+}
+
+func (c *shapeChecker) push(s pathStep) { c.path = append(c.path, s) }
+
+func (c *shapeChecker) pop() { c.path = c.path[:len(c.path)-1] }
+
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (c *shapeChecker) check(v hujson.Value, t reflect.Type) {
+	switch {
+	case reflect.PointerTo(t).Implements(textType):
+		c.checkText(v, t)
+	case t.Kind() == reflect.Struct:
+		c.checkObject(v, t)
+	case t.Kind() == reflect.Slice:
+		c.checkArray(v, t)
 	default:
-		c.checkLiteral(v, t, field)
+		c.checkLiteral(v, t)
 	}
 }
 
-func (c *shapeChecker) checkObject(v hujson.Value, t reflect.Type, field string) {
+func (c *shapeChecker) checkObject(v hujson.Value, t reflect.Type) {
 	obj, ok := v.Value.(*hujson.Object)
 	if !ok {
-		c.add(v, field, "want an object")
+		c.add(v, "want an object")
 		return
 	}
-	fields := fieldTypes(t)
-	seen := make(map[string]bool, len(obj.Members))
-	for _, m := range obj.Members {
+	fields := c.fieldTypes(t)
+	for i, m := range obj.Members {
 		name := m.Name.Value.(hujson.Literal).String()
-		path := joinField(field, name)
 		ft, known := fields[name]
+		c.push(pathStep{name: name})
 		switch {
 		case !known:
-			c.add(m.Name, path, "unknown field")
-		case seen[name]:
-			c.add(m.Name, path, "field is repeated")
+			c.add(m.Name, "unknown field")
+		case isRepeated(obj.Members[:i], name):
+			c.add(m.Name, "field is repeated")
 		default:
-			c.check(m.Value, ft, path)
+			c.check(m.Value, ft)
 		}
-		seen[name] = true
+		c.pop()
 	}
 }
 
-func joinField(field, name string) string {
-	if field == "" {
-		return name
+// isRepeated reports whether a field is among those before it, which are few.
+func isRepeated(before []hujson.ObjectMember, name string) bool {
+	for _, m := range before {
+		if m.Name.Value.(hujson.Literal).String() == name {
+			return true
+		}
 	}
-	return field + "." + name
+	return false
 }
 
 // fieldTypes returns the fields of a struct by their JSON names.
-func fieldTypes(t reflect.Type) map[string]reflect.Type {
+func (c *shapeChecker) fieldTypes(t reflect.Type) map[string]reflect.Type {
+	if out, ok := c.fields[t]; ok {
+		return out
+	}
 	out := make(map[string]reflect.Type, t.NumField())
 	for i := range t.NumField() {
 		f := t.Field(i)
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 		out[name] = f.Type
 	}
+	c.fields[t] = out
 	return out
 }
 
-func (c *shapeChecker) checkArray(v hujson.Value, t reflect.Type, field string) {
+func (c *shapeChecker) checkArray(v hujson.Value, t reflect.Type) {
 	arr, ok := v.Value.(*hujson.Array)
 	if !ok {
-		c.add(v, field, "want an array")
+		c.add(v, "want an array")
 		return
 	}
 	for i, e := range arr.Elements {
-		c.check(e, t.Elem(), fmt.Sprintf("%s[%d]", field, i))
+		c.push(pathStep{index: i})
+		c.check(e, t.Elem())
+		c.pop()
 	}
 }
 
-func (c *shapeChecker) checkLiteral(v hujson.Value, t reflect.Type, field string) {
+func (c *shapeChecker) checkLiteral(v hujson.Value, t reflect.Type) {
 	lit, ok := v.Value.(hujson.Literal)
 	if !ok || bytes.Equal(lit, []byte("null")) {
-		c.add(v, field, "want a %s", t.Kind())
+		c.add(v, "want a %s", t.Kind())
+		return
+	}
+	if t.Kind() == reflect.String && lit.Kind() == '"' {
 		return
 	}
 	if err := json.Unmarshal(lit, reflect.New(t).Interface()); err != nil {
-		c.add(v, field, "want a %s, got %s", t.Kind(), []byte(lit))
+		c.add(v, "want a %s, got %s", t.Kind(), []byte(lit))
 	}
 }
 
-func (c *shapeChecker) checkText(v hujson.Value, t reflect.Type, field string) {
+func (c *shapeChecker) checkText(v hujson.Value, t reflect.Type) {
 	lit, ok := v.Value.(hujson.Literal)
 	if !ok || lit.Kind() != '"' {
-		c.add(v, field, "want a string")
+		c.add(v, "want a string")
 		return
 	}
-	if err := json.Unmarshal(lit, reflect.New(t).Interface()); err != nil {
-		c.add(v, field, "%v", err)
+	text := reflect.New(t).Interface().(encoding.TextUnmarshaler)
+	if err := text.UnmarshalText([]byte(lit.String())); err != nil {
+		c.add(v, "%v", err)
 	}
 }
