--- a/internal/state/feed/spread_test.go
+++ b/internal/state/feed/spread_test.go
@@ -34,9 +34,32 @@
 
 func (n *node) Snapshot() []cove.Member { return *n.list }
 
-func (n *node) Post(cove.Scope, string, []byte) error { return nil }
+// Post keeps the note; Notes of other hosts see it at once.
+func (n *node) Post(scope cove.Scope, _ string, value []byte) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.posted[scope] = note{value: value, at: time.Now()}
+	return nil
+}
 
-func (n *node) Notes(cove.Scope, string) []cove.Note { return nil }
+func (n *node) Notes(scope cove.Scope, _ string) []cove.Note {
+	var out []cove.Note
+	seen := make(map[cove.Domain]bool)
+	for _, m := range *n.list {
+		from := n.nodes[m.ID]
+		speaks := scope == cove.ScopeDomain && m.Domain == n.self.Domain || scope == cove.ScopeFleet && !seen[m.Domain]
+		seen[m.Domain] = true
+		if !speaks || from == n {
+			continue
+		}
+		from.mu.Lock()
+		if p, ok := from.posted[scope]; ok {
+			out = append(out, cove.Note{Scope: scope, Host: m.ID, Domain: m.Domain, Value: p.value, Age: time.Since(p.at)})
+		}
+		from.mu.Unlock()
+	}
+	return out
+}
 
 func (n *node) Client(id cove.HostID) (*http.Client, string, error) {
 	return n.http, "http://" + n.nodes[id].addr, nil
@@ -98,7 +121,7 @@
 }
 
 // startNodes starts a fleet with real tasks.
-func startNodes(b *testing.B, nDomains, perDomain int) []*node {
+func startNodes(b *testing.B, nDomains, perDomain int) ([]*node, *platf.Platform) {
 	b.Helper()
 	plat := platf.New(nil, 1)
 	platAddr := serve(b, new(atomic.Int64), plat.Handler())
@@ -111,6 +134,7 @@
 		n.self = cove.Self{ID: id, Incarnation: cove.NewIncarnation(), Domain: domainName(i / perDomain)}
 		n.mux = http.NewServeMux()
 		n.meter = new(meter.Meter)
+		n.posted = make(map[cove.Scope]note)
 		n.http = countedClient(&n.bytes, true)
 		members = append(members, cove.Member{ID: id, Domain: n.self.Domain, State: cove.HostLive})
 		st := &store.Client{Base: "http://" + platAddr, HTTP: countedClient(&n.bytes, false), Counters: n.meter}
@@ -128,16 +152,16 @@
 		}
 		b.Cleanup(func() { _ = n.feed.Stop(context.Background()) })
 	}
-	return nodes
+	return nodes, plat
 }
 
-// BenchmarkSpread measures the time until a change is in force on all hosts and
-// the traffic of an idle host. It is no test, because its figures depend on the
+// BenchmarkSpread measures the time until a change is in force on all hosts, the
+// traffic of an idle host, and the freshness through an outage of the store. It is no test, because its figures depend on the
 // load of the machine.
 func BenchmarkSpread(b *testing.B) {
 	for _, size := range []struct{ domains, perDomain int }{{6, 3}, {6, 28}, {21, 28}} {
 		b.Run(fmt.Sprintf("hosts=%d", size.domains*size.perDomain), func(b *testing.B) {
-			nodes := startNodes(b, size.domains, size.perDomain)
+			nodes, plat := startNodes(b, size.domains, size.perDomain)
 			var took []time.Duration
 			arrived := make(chan time.Duration, len(nodes))
 			var start time.Time
@@ -158,6 +182,7 @@
 			b.ReportMetric(float64(took[len(took)*99/100].Milliseconds()), "p99-ms")
 			b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max-ms")
 			reportTraffic(b, nodes)
+			reportOutage(b, plat, nodes)
 		})
 	}
 }
@@ -182,3 +207,19 @@
 	b.ReportMetric(float64(most)/window.Seconds(), "most-B/s")
 	b.ReportMetric(float64(oldest.Milliseconds()), "oldest-fresh-ms")
 }
+
+// reportOutage reports the highest age of what any host knows while the store is
+// out of order. It must stay under keys.FreshLimit.
+func reportOutage(b *testing.B, plat *platf.Platform, nodes []*node) {
+	b.Helper()
+	const window, step = 12 * time.Second, 50 * time.Millisecond
+	plat.SetFaults(platf.Faults{Outage: true})
+	var oldest time.Duration
+	for range window / step {
+		time.Sleep(step)
+		for _, n := range nodes {
+			oldest = max(oldest, time.Since(n.feed.FreshAt()))
+		}
+	}
+	b.ReportMetric(float64(oldest.Milliseconds()), "outage-oldest-ms")
+}
