Read the platform's list of hosts only when it has changed

Cause: 132 of 300 platform requests in 10 s of 6 idle hosts read the whole list of hosts. Change: the list has a digest, and a reader that has it gets 304; health reads it once a second instead of twice.

--- a/internal/bench/platf/handler.go
+++ b/internal/bench/platf/handler.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
 
+	"github.com/cespare/xxhash/v2"
+
 	"turmericcove.org/cove"
 )
 
@@ -42,7 +45,9 @@
 
 // HostsResponse lists hosts.
 type HostsResponse struct {
-	Hosts []cove.ListedHost `json:"hosts"`
+	// Digest stands for the list; a reader that has it needs no copy.
+	Digest string            `json:"digest"`
+	Hosts  []cove.ListedHost `json:"hosts"`
 }
 
 // Handler returns the HTTP form of the platform.
@@ -65,6 +70,16 @@
 	return mux
 }
 
+// digestOf returns a short text that changes with the list.
+func digestOf(hosts []cove.ListedHost) string {
+	h := xxhash.New()
+	for _, x := range hosts {
+		// Writing to a hash returns no error.
+		_, _ = fmt.Fprintf(h, "%q %q %v %v %t\n", x.ID, x.Domain, x.Peer, x.Caller, x.Leaving)
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
 func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
 	row, err := p.Get(r.Context(), r.FormValue("key"))
 	if err == nil && r.FormValue("ifNot") == strconv.FormatUint(row.Revision, 10) {
@@ -139,7 +154,12 @@
 
 func (p *Platform) serveHosts(w http.ResponseWriter, r *http.Request) {
 	hosts, err := p.Hosts(r.Context())
-	answer(w, HostsResponse{Hosts: hosts}, err)
+	digest := digestOf(hosts)
+	if err == nil && r.FormValue("ifNot") == digest {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	answer(w, HostsResponse{Digest: digest, Hosts: hosts}, err)
 }
 
 func (p *Platform) servePutHost(w http.ResponseWriter, r *http.Request) {
--- a/internal/bench/platf/platform.go
+++ b/internal/bench/platf/platform.go
@@ -15,7 +15,7 @@
 //	PUT    /v1/object?name=N  204; 409 if N exists with other bytes
 //	DELETE /v1/object?name=N  204
 //	GET    /v1/objects?prefix=P  200 {"names":[string]}
-//	GET    /v1/hosts  200 {"hosts":[cove.ListedHost]}
+//	GET    /v1/hosts[?ifNot=D]  200 {"digest":D,"hosts":[cove.ListedHost]}; 304
 //	PUT    /v1/hosts  cove.ListedHost  204
 //	DELETE /v1/hosts?id=I  204
 //
--- a/internal/route/health/poll.go
+++ b/internal/route/health/poll.go
@@ -30,7 +30,7 @@
 	maxPolls = 32
 	// listInterval is the time between two reads of the platform's host list
 	// by each of the domain's readers.
-	listInterval = 500 * time.Millisecond
+	listInterval = time.Second
 	// listReaders is the number of hosts of a domain that read the list.
 	listReaders = 2
 	listTimeout = 2 * time.Second
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -47,6 +47,8 @@
 	Timeout       time.Duration
 	ObjectTimeout time.Duration
 	SettleTimeout time.Duration
+
+	hosts hostList
 }
 
 var (
--- a/internal/state/store/rows.go
+++ b/internal/state/store/rows.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 
 	"turmericcove.org/cove"
 )
@@ -48,11 +50,46 @@
 	return out.Rows, err
 }
 
-// Hosts implements cove.HostList.
+// hostList is the last list of hosts that was read.
+type hostList struct {
+	mu     sync.Mutex
+	digest string
+	hosts  []cove.ListedHost
+}
+
+// Hosts implements cove.HostList. A list that is the same as the last one is
+// not sent again, because it is read often and grows with the fleet.
 func (c *Client) Hosts(ctx context.Context) ([]cove.ListedHost, error) {
+	c.hosts.mu.Lock()
+	digest, hosts := c.hosts.digest, c.hosts.hosts
+	c.hosts.mu.Unlock()
+	c.count("reads")
+	r, err := c.do(ctx, request{
+		method: http.MethodGet, path: "/v1/hosts", query: url.Values{"ifNot": {digest}},
+		timeout: c.timeout(), limit: maxAnswerBytes,
+	})
+	if err != nil {
+		return nil, err
+	}
+	switch r.status {
+	case http.StatusNotModified:
+		return slices.Clone(hosts), nil
+	case http.StatusOK:
+		return c.takeHosts(r.body)
+	}
+	return nil, c.statusError(r)
+}
+
+func (c *Client) takeHosts(body []byte) ([]cove.ListedHost, error) {
 	var out struct {
-		Hosts []cove.ListedHost `json:"hosts"`
+		Digest string            `json:"digest"`
+		Hosts  []cove.ListedHost `json:"hosts"`
+	}
+	if err := unmarshal(body, &out); err != nil {
+		return nil, err
 	}
-	err := c.get(ctx, "/v1/hosts", nil, &out)
-	return out.Hosts, err
+	c.hosts.mu.Lock()
+	c.hosts.digest, c.hosts.hosts = out.Digest, out.Hosts
+	c.hosts.mu.Unlock()
+	return slices.Clone(out.Hosts), nil
 }
