--- a/internal/state/feed/spread_test.go
+++ b/internal/state/feed/spread_test.go
@@ -16,6 +16,7 @@
 	"turmericcove.org/cove/internal/bench/platf"
 	"turmericcove.org/cove/internal/core/clock"
 	"turmericcove.org/cove/internal/core/event"
+	"turmericcove.org/cove/internal/core/group"
 	"turmericcove.org/cove/internal/core/meter"
 	"turmericcove.org/cove/internal/state/feed"
 	"turmericcove.org/cove/internal/state/store"
@@ -115,7 +116,10 @@
 	srv := &http.Server{Handler: h, Protocols: new(http.Protocols)}
 	srv.Protocols.SetHTTP1(true)
 	srv.Protocols.SetUnencryptedHTTP2(true)
-	go func() { _ = srv.Serve(countedListener{l, n}) }() // ends with Close
+	new(group.Group).Go(func(context.Context) error {
+		_ = srv.Serve(countedListener{l, n}) // ends with Close
+		return nil
+	})
 	b.Cleanup(func() { _ = srv.Close() })
 	return l.Addr().String()
 }
--- a/internal/state/feed/withdraw_test.go
+++ b/internal/state/feed/withdraw_test.go
@@ -245,6 +245,44 @@
 	}
 }
 
+// TestSilentRoots guards against hosts that become stale or miss a change because
+// the first hosts of all domains are cut off and still listed as live.
+func TestSilentRoots(t *testing.T) {
+	fl := newFleet(1)
+	if err := fl.Apply(1, rateTable(nil, 1), "first"); err != nil {
+		t.Fatal(err)
+	}
+	for range 8 {
+		fl.round()
+	}
+	for n := 0; n < len(fl.hosts); n += perDom {
+		fl.hosts[n].storeCut = true
+		for other := range fl.hosts {
+			fl.cut[[2]int{min(n, other), max(n, other)}] = n != other
+		}
+	}
+	for i := range 80 {
+		if i == 40 {
+			if err := fl.Apply(1, rateTable(fl.Current(1), 2), "second"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		fl.round()
+		for _, h := range fl.hosts {
+			root := h.n%perDom == 0
+			if !root && !h.keys.Fresh() {
+				t.Fatalf("host %d is stale in round %d", h.n, i)
+			}
+			if root && i > 24 && h.keys.Fresh() {
+				t.Fatalf("host %d is cut off and fresh in round %d", h.n, i)
+			}
+			if !root && i > 48 && fl.Current(h.n).Version != 2 {
+				t.Fatalf("host %d misses the change in round %d", h.n, i)
+			}
+		}
+	}
+}
+
 // TestOneHostReachesStore guards against hosts that take the store for out of
 // order for all while one host can still commit changes.
 func TestOneHostReachesStore(t *testing.T) {
