Tie the reuse of a claim row to the claim that did not run

Cause: after an answer had left the memory, a repeat whose own claim met no answer of the store marked the key as not run. The next repeat then took the row of the first, which had run, for its own and ran the request again. Change: each claim has a number in its row; only a row with the number of a claim that did not run is used again or deleted.

--- a/internal/limit/once/claim.go
+++ b/internal/limit/once/claim.go
@@ -40,7 +40,8 @@
 
 // operation is a claim on its way to the store.
 type operation struct {
-	e *entry
+	e  *entry
+	id uint64
 	// revision is what the row must have; 0 for no row.
 	revision uint64
 	outcome  outcome
@@ -57,7 +58,8 @@
 // claim queues a claim of a foreign key.
 func (l *Ledger) claim(e *entry) *waiting {
 	e.state = claiming
-	op := &operation{e: e, done: make(chan struct{})}
+	l.claims++
+	op := &operation{e: e, id: l.claims, done: make(chan struct{})}
 	l.queue = append(l.queue, op)
 	l.wake()
 	return &waiting{done: op.done, claim: op}
@@ -80,13 +82,13 @@
 		return
 	}
 	if op.outcome == won {
-		l.freeEntry(op.e)
+		l.freeEntry(op.e, op.id)
 	}
 }
 
-// freeEntry marks a key as not run and has its row deleted.
-func (l *Ledger) freeEntry(e *entry) {
-	e.orphan = true
+// freeEntry marks a key as not run under a claim and has the row deleted.
+func (l *Ledger) freeEntry(e *entry, claim uint64) {
+	e.addIdle(claim)
 	e.releaseAt = l.cfg.Clock.Now().Add(batchEvery)
 	e.settle(free)
 	l.addFree(e)
@@ -188,17 +190,17 @@
 // commit writes claims in one transaction. If some of them meet another row,
 // nothing is written, and the others are returned.
 func (l *Ledger) commit(ctx context.Context, batch []*operation) []*operation {
-	value, err := l.claimValue()
-	if err != nil {
-		l.settleAll(batch, failed)
-		return nil
-	}
 	writes := make([]cove.Write, 0, len(batch))
 	for _, op := range batch {
+		value, err := l.claimValue(op.id)
+		if err != nil {
+			l.settleAll(batch, failed)
+			return nil
+		}
 		writes = append(writes, cove.Write{Key: rowKey(op.e.key), IfRevision: op.revision, Value: value})
 	}
 	token := l.nextToken()
-	err = l.cfg.Store.Commit(ctx, token, writes)
+	err := l.cfg.Store.Commit(ctx, token, writes)
 	switch {
 	case err == nil:
 		l.cfg.Counters.Add("once.transaction", 1)
@@ -213,11 +215,12 @@
 	return nil
 }
 
-func (l *Ledger) claimValue() ([]byte, error) {
+func (l *Ledger) claimValue(id uint64) ([]byte, error) {
 	b, err := proto.Marshal(&peerpb.OnceClaim{
 		Host:        string(l.cfg.Self.ID),
 		Incarnation: l.cfg.Self.Incarnation[:],
 		Claimed:     l.cfg.Clock.Now().Unix(),
+		Id:          id,
 	})
 	return b, errors.Wrap(err, "encode claim")
 }
@@ -280,10 +283,11 @@
 		l.fail(op)
 		return
 	case op.abandoned:
-		l.freeEntry(op.e)
+		l.freeEntry(op.e, op.id)
 	default:
 		op.e.state = running
-		op.e.orphan = false
+		op.e.held = op.id
+		op.e.idle = nil
 	}
 	op.outcome = won
 	close(op.done)
@@ -291,7 +295,7 @@
 
 // fail ends a claim whose row may or may not exist.
 func (l *Ledger) fail(op *operation) {
-	l.freeEntry(op.e)
+	l.freeEntry(op.e, op.id)
 	op.outcome = failed
 	close(op.done)
 }
@@ -324,7 +328,7 @@
 	}
 	op.owner = cove.HostID(m.GetHost())
 	copy(op.inc[:], m.GetIncarnation())
-	if op.e.orphan && op.owner == l.cfg.Self.ID && op.inc == l.cfg.Self.Incarnation {
+	if l.idle(op.e, &m) {
 		op.revision = r.Revision
 		return true
 	}
--- a/internal/limit/once/entry.go
+++ b/internal/limit/once/entry.go
@@ -48,15 +48,28 @@
 	keep time.Time
 	// done is closed when the state changes from claiming or running.
 	done chan struct{}
-	// orphan is set when a row of this incarnation belongs to a request that
-	// did not run, so that another request may use it.
-	orphan bool
+	// held is the claim that is in the row while the request runs.
+	held uint64
+	// idle holds the claims whose row may exist or still appear and whose
+	// request did not run. Only such a row may be used again or deleted.
+	idle []uint64
 	// openUntil bounds how long a commit without an answer is watched for.
 	openUntil time.Time
 	// releaseAt is when the row of a free key is to be deleted.
 	releaseAt time.Time
 }
 
+// maxIdle bounds the idle claims of an entry. The row of a claim that was
+// forgotten blocks its key until it is cleaned up.
+const maxIdle = 16
+
+func (e *entry) addIdle(id uint64) {
+	e.idle = append(e.idle, id)
+	if len(e.idle) > maxIdle {
+		e.idle = e.idle[1:]
+	}
+}
+
 // keyDigest scopes a key to its team.
 func keyDigest(team cove.Team, key string) digest {
 	h := sha256.New()
--- a/internal/limit/once/ledger.go
+++ b/internal/limit/once/ledger.go
@@ -60,6 +60,8 @@
 	// frees holds entries whose row is to be deleted.
 	frees []*entry
 	token uint64
+	// claims numbers the claims of this incarnation.
+	claims uint64
 }
 
 // ending is the end of a run. The entry may have been dropped since.
--- a/internal/limit/once/once_test.go
+++ b/internal/limit/once/once_test.go
@@ -301,8 +301,8 @@
 	case actFaults:
 		w.faults = !w.faults
 	case actTime:
-		// Claims must not end before the oracle does.
-		w.clock.Advance(time.Duration(a.key) * time.Second)
+		// Long enough that answers and tickets end; claims are not cleaned.
+		w.clock.Advance(time.Second << a.key)
 	}
 	w.settle()
 	return w.failed
--- a/internal/limit/once/release.go
+++ b/internal/limit/once/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,7 +48,7 @@
 		case err != nil:
 			down = true
 			l.released(e, false)
-		case !l.owns(r):
+		case !l.releasable(e, r):
 			l.released(e, true)
 		default:
 			writes = append(writes, cove.Write{Key: r.Key, IfRevision: r.Revision, Delete: true})
@@ -65,12 +66,23 @@
 	return true
 }
 
-func (l *Ledger) owns(r cove.Row) bool {
+// idle reports whether a row was written by this incarnation for a request
+// that did not run.
+func (l *Ledger) idle(e *entry, m *peerpb.OnceClaim) bool {
+	return m.GetHost() == string(l.cfg.Self.ID) &&
+		string(m.GetIncarnation()) == string(l.cfg.Self.Incarnation[:]) &&
+		slices.Contains(e.idle, m.GetId())
+}
+
+// releasable reports whether the row is that of an idle claim.
+func (l *Ledger) releasable(e *entry, r cove.Row) bool {
 	var m peerpb.OnceClaim
 	if err := proto.Unmarshal(r.Value, &m); err != nil {
 		return false
 	}
-	return m.GetHost() == string(l.cfg.Self.ID) && string(m.GetIncarnation()) == string(l.cfg.Self.Incarnation[:])
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.idle(e, &m)
 }
 
 // nextRelease chooses free keys that are due. A key that has been claimed again
--- a/internal/limit/once/run.go
+++ b/internal/limit/once/run.go
@@ -71,7 +71,7 @@
 		l.drop(e)
 		return
 	}
-	l.freeEntry(e)
+	l.freeEntry(e, e.held)
 }
 
 // add makes an entry, unless the memory is used up by entries that must stay.
