Add scripts of slot faults that random runs find rarely

Cause: with 40 random runs, a host that vouches without having kept the division was not found. Change: three scripts run against the same oracle. Conclusion: the random runs can stay short.

--- a/internal/limit/admit/slots_test.go
+++ b/internal/limit/admit/slots_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -154,6 +155,30 @@
 	}
 }
 
+// Guards against faults that random runs have found, or find rarely.
+func TestSlotScripts(t *testing.T) {
+	scripts := []struct {
+		domains []cove.Domain
+		events  string
+	}{
+		// A domain was cleared while work on its servers was still running.
+		{[]cove.Domain{"d0", "d0", "d1"}, "release 2 rounds 1 fill 0 start 2 rounds 0 fill 2"},
+		{[]cove.Domain{"d0", "d1", "d1", "d1", "d1"}, "evict 0 rounds 1 fill 2 evict 1 start 0 rounds 3 fill 0"},
+		// A host that has just started must not vouch for one that is cut off.
+		{[]cove.Domain{"d0", "d0", "d0"}, "evict 0 rounds 0 rounds 0 cut 2 start 0 restart 1 rounds 0 rounds 0 fill 2 fill 0 fill 1"},
+	}
+	for _, s := range scripts {
+		w := settledWorld(testTable(testSlots, 2, "d0", "d1"), s.domains...)
+		fields := strings.Fields(s.events)
+		for i := 0; i < len(fields); i += 2 {
+			e := event{kind: fields[i], host: int(fields[i+1][0] - '0')}
+			if r := e.PostCondition(nil, e.Run(w)); !r.Success() {
+				t.Errorf("%s: %s: %v", s.events, e, r.Labels)
+			}
+		}
+	}
+}
+
 // Shows that the oracle catches a register that takes silence for proof.
 func TestSlotOracleCatchesTakeoverWithoutProof(t *testing.T) {
 	r := commands.Prop(slotCommands(true, "d0", "d0", "d0")).Check(slotParameters(40))
