Spread versions as lags, and find hosts behind broken links

Cause: versions as notes took up to 26 s over a link; two hosts that are no neighbours sent each other the same entries every 3 s; after faults in quick succession hosts were not found again. Change: versions travel as one byte per host after a change; items are sent again to neighbours only; entries say whether others have reported a host as gone, and such hosts are probed; a host that hears nobody tries all it knows.

--- a/internal/fleet/member/beat.go
+++ b/internal/fleet/member/beat.go
@@ -35,6 +35,7 @@
 	if regular {
 		keys = append(keys, n.takeNotes(l, m)...)
 		n.addAges(l, m)
+		n.addLags(l, m)
 	}
 	n.addHashes(l, m)
 	n.post(l, m, keys)
@@ -154,8 +155,8 @@
 	if d.mark > 0 {
 		l.urgent.push(itemKey{kind: itemMark, name: string(d.name)})
 	}
-	for id, r := range n.table.records {
-		if r.Domain == d.name && !r.seed {
+	for id, r := range d.all {
+		if !r.seed {
 			l.urgent.push(itemKey{kind: itemEntry, name: string(id)})
 		}
 	}
@@ -302,10 +303,7 @@
 	}
 	n.heard = n.now
 	r.heard = n.now
-	if v := cove.Version(m.Version); v > r.Version {
-		r.Version = v
-		n.table.revision++
-	}
+	n.raiseVersion(r, cove.Version(m.Version))
 	if r.Domain != n.self.Domain {
 		n.heardOut = n.now
 		n.table.domain(r.Domain).seen = n.now
@@ -322,6 +320,7 @@
 		r := n.table.records[l.id]
 		n.joined = n.joined || r != nil && r.State != cove.HostStarting
 		n.onAges(m)
+		n.onLags(l, m)
 		return
 	}
 	if l.differs.IsZero() {
--- a/internal/fleet/member/board.go
+++ b/internal/fleet/member/board.go
@@ -1,11 +1,8 @@
 package member
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/wire/peerpb"
 )
@@ -20,8 +17,7 @@
 	// noteOverhead is the encoded size of a note without its strings.
 	noteOverhead = 20
 
-	versionTopic = "member.version"
-	cutOffTopic  = "member.cutOff"
+	cutOffTopic = "member.cutOff"
 )
 
 // note is the newest value that a host has posted under a topic.
@@ -176,32 +172,3 @@
 		}
 	}
 }
-
-// postVersion spreads the version of the tables in force, and that of the
-// domain's slowest host.
-func (n *node) postVersion() {
-	v := n.cfg.version()
-	if v != n.own.Version {
-		n.own.Version = v
-		n.table.revision++
-		n.postNote(cove.ScopeDomain, versionTopic, formatVersion(v), false)
-	}
-	if n.rank != 0 {
-		return
-	}
-	low := n.lowestVersion()
-	k := itemKey{kind: itemNote, name: string(n.self.ID), topic: versionTopic, fleet: true}
-	if old := n.notes[k]; low > 0 && (old == nil || string(old.value) != string(formatVersion(low))) {
-		n.postNote(cove.ScopeFleet, versionTopic, formatVersion(low), false)
-	}
-}
-
-func formatVersion(v cove.Version) []byte { return binary.AppendUvarint(nil, uint64(v)) }
-
-func parseVersion(b []byte) (cove.Version, error) {
-	v, size := binary.Uvarint(b)
-	if size <= 0 {
-		return 0, errors.New("parse version")
-	}
-	return cove.Version(v), nil
-}
--- a/internal/fleet/member/detect.go
+++ b/internal/fleet/member/detect.go
@@ -38,8 +38,10 @@
 	contradictMemory  = time.Minute
 	maxDoublings      = 3
 	// A rack fails as a whole, so neighbours of a suspect are probed at once.
-	rackProbes    = 8
-	domainProbes  = 3
+	rackProbes   = 8
+	domainProbes = 3
+	// maxLostProbes bounds the probes of lost domains in each interval.
+	maxLostProbes = 4
 	probeInterval = time.Second
 )
 
@@ -303,11 +305,10 @@
 
 // someHosts returns hosts of a domain, others each time.
 func (n *node) someHosts(name cove.Domain) []cove.HostID {
-	hosts := n.table.domain(name).hosts
+	d := n.table.domain(name)
 	var ids []cove.HostID
-	for range min(domainProbes, len(hosts)) {
-		n.detector.turn++
-		ids = append(ids, hosts[n.detector.turn%len(hosts)].ID)
+	for range min(domainProbes, len(d.hosts)) {
+		ids = append(ids, d.next())
 	}
 	return ids
 }
--- a/internal/fleet/member/isolate.go
+++ b/internal/fleet/member/isolate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"turmericcove.org/cove"
 )
@@ -86,26 +87,31 @@
 	n.detector.lost = n.now
 	n.detector.turn++
 	var lost []cove.HostID
-	for id, r := range n.table.records {
-		if r.State == cove.HostGone && !r.shownUntil.IsZero() && r.Domain == n.self.Domain && n.nextTo(id) {
+	for id, r := range n.table.domain(n.self.Domain).all {
+		if r.State == cove.HostGone && r.reported && n.nextTo(id) {
 			lost = append(lost, id)
 		}
 	}
-	n.probeTurn(lost)
-	if n.rank < 0 {
-		return
+	n.probeTurnAt(lost, n.detector.turn)
+	if n.rank >= 0 {
+		n.probeLostDomains()
 	}
-	lost = nil
+}
+
+func (n *node) probeLostDomains() {
+	var lost []*domain
 	for name, d := range n.table.domains {
 		if len(d.hosts) > 0 && len(n.table.reachable(name)) == 0 && n.domainNextTo(name) {
-			lost = append(lost, d.hosts[n.detector.turn%len(d.hosts)].ID)
+			lost = append(lost, d)
 		}
 	}
-	n.probeTurn(lost)
+	slices.SortFunc(lost, func(a, b *domain) int { return strings.Compare(string(a.name), string(b.name)) })
+	for i := range min(maxLostProbes, len(lost)) {
+		d := lost[(n.detector.turn*maxLostProbes+i)%len(lost)]
+		n.probe(d.next())
+	}
 }
 
-func (n *node) probeTurn(ids []cove.HostID) { n.probeTurnAt(ids, n.detector.turn) }
-
 // probeTurnAt probes one of several hosts, each in its turn.
 func (n *node) probeTurnAt(ids []cove.HostID, turn int) {
 	if len(ids) == 0 {
--- a/internal/fleet/member/learn.go
+++ b/internal/fleet/member/learn.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"slices"
 	"strconv"
 
 	"turmericcove.org/cove"
@@ -141,7 +140,6 @@
 	l.notes.drop(k)
 	l.urgent.drop(k)
 	n.spread(k, l.id, p.urgent)
-	n.noteVersion(k, p)
 	if p.urgent {
 		n.table.revision++
 	}
@@ -163,48 +161,3 @@
 	known := shortIncarnation(r.Incarnation)
 	return m.Incarnation == known || old.incarnation != known
 }
-
-// noteVersion takes the version of the tables from a host's note.
-func (n *node) noteVersion(k itemKey, p *note) {
-	if k.topic != versionTopic {
-		return
-	}
-	v, err := parseVersion(p.value)
-	if err != nil {
-		return
-	}
-	r := n.table.records[cove.HostID(k.name)]
-	if r == nil {
-		return
-	}
-	if !k.fleet {
-		n.raiseVersion(r, v)
-		return
-	}
-	for _, other := range n.table.domain(r.Domain).hosts {
-		n.raiseVersion(other, v)
-	}
-}
-
-func (n *node) raiseVersion(r *record, v cove.Version) {
-	if v > r.Version {
-		r.Version = v
-		n.table.revision++
-	}
-}
-
-// lowestVersion returns the lowest version in force in this host's domain.
-func (n *node) lowestVersion() cove.Version {
-	low := n.cfg.version()
-	hosts := n.table.domain(n.self.Domain).hosts
-	i := slices.IndexFunc(hosts, func(r *record) bool {
-		if r.ID != n.self.ID && r.State == cove.HostLive {
-			low = min(low, r.Version)
-		}
-		return low == 0
-	})
-	if i >= 0 {
-		return 0
-	}
-	return low
-}
--- a/internal/fleet/member/link.go
+++ b/internal/fleet/member/link.go
@@ -98,6 +98,8 @@
 	hashes  time.Time
 	agesPos int
 	domAges time.Time
+	// versionChanges is the state of which the peer was told last.
+	versionChanges uint64
 }
 
 func (l *link) queueOf(k itemKey, urgent bool) *queue {
@@ -119,11 +121,14 @@
 	}
 }
 
-// requeue returns items whose messages seem lost.
-func (l *link) requeue(now time.Time) {
+// requeue returns items whose messages to a neighbour seem lost. Others are not
+// sent again: such a peer may have no reason to acknowledge.
+func (l *link) requeue(now time.Time, neighbour bool) {
 	for len(l.flights) > 0 && now.Sub(l.flights[0].sent) > resendAfter {
 		for _, k := range l.flights[0].keys {
-			l.queueOf(k, false).push(k)
+			if neighbour {
+				l.queueOf(k, false).push(k)
+			}
 		}
 		l.flights = l.flights[1:]
 	}
--- a/internal/fleet/member/model_test.go
+++ b/internal/fleet/member/model_test.go
@@ -33,6 +33,9 @@
 	since  time.Duration
 	// zombies counts earlier processes of the host that are paused.
 	zombies int
+	// awake is set once such a process runs again. It may then be the only one
+	// of its host.
+	awake bool
 }
 
 // model is the oracle: it knows the true state of all hosts and links.
@@ -106,6 +109,9 @@
 	if m.acrossHealed(o, x) {
 		return 0, false
 	}
+	if x.awake && x.status != statusUp {
+		return 0, false
+	}
 	// With a broken link and nobody else to ask, silence looks like a crash.
 	if (m.isCut || m.now-m.cutAt < healBound && m.cutAt > 0) && m.peersOf(o) < 2 {
 		return 0, false
--- a/internal/fleet/member/node.go
+++ b/internal/fleet/member/node.go
@@ -49,6 +49,8 @@
 
 	notes   map[itemKey]*note
 	noteSeq uint64
+	// versionChanges counts the changes of versions that peers are told of.
+	versionChanges uint64
 
 	started time.Time
 	awake   time.Time
@@ -206,7 +208,7 @@
 	n.retarget()
 	n.detect()
 	n.contactSeeds()
-	n.postVersion()
+	n.ownVersion()
 	n.heartbeat()
 	n.flush()
 	n.maintain()
@@ -249,7 +251,7 @@
 // maintain drops and renews the state of exchanges.
 func (n *node) maintain() {
 	for id, l := range n.links {
-		l.requeue(n.now)
+		l.requeue(n.now, n.isTarget(id))
 		if !l.unacked.IsZero() && n.now.Sub(l.unacked) > resetAfter {
 			l.unacked = n.now
 			n.resets = append(n.resets, id)
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -38,6 +38,8 @@
 	heard time.Time
 	// seed marks a host that only the platform's list has named so far.
 	seed bool
+	// reported marks a host that others have declared as gone.
+	reported bool
 }
 
 // newer reports whether the entry b replaces a. Within one sequence number the
@@ -64,6 +66,7 @@
 		Peer:        addrBytes(r.Peer),
 		Caller:      addrBytes(r.Caller),
 		Epoch:       r.epoch,
+		Reported:    r.reported,
 	}
 	r.hash = 0
 	if r.State == cove.HostGone || r.seed {
@@ -77,10 +80,11 @@
 	r.hash = xxhash.Sum64(b)
 }
 
-// with returns a copy of the record in another state.
+// with returns a copy of the record in a state that this host reports.
 func (r *record) with(state cove.HostState, sequence uint64) *record {
 	c := *r
 	c.State = state
+	c.reported = state == cove.HostGone
 	c.sequence = sequence
 	c.seal()
 	return &c
@@ -144,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &record{sequence: e.Sequence, epoch: e.Epoch}
+	r := &record{sequence: e.Sequence, epoch: e.Epoch, reported: e.Reported}
 	r.Member = cove.Member{
 		ID:          cove.HostID(e.Host),
 		Incarnation: inc,
--- a/internal/fleet/member/seed.go
+++ b/internal/fleet/member/seed.go
@@ -23,6 +23,8 @@
 	joinContactInterval = 250 * time.Millisecond
 	contactInterval     = 2 * time.Second
 	joinContacts        = 2
+	// eagerTime is the time after the start with the shorter interval.
+	eagerTime = 10 * time.Second
 )
 
 // leavingMark is a mark of the platform's list.
@@ -122,10 +124,10 @@
 	n.emit("member.leaving", "marked by the platform", cove.Field{Name: "host", Value: string(r.ID)})
 }
 
-// contactSeeds sends a message to hosts that only the list has named.
+// contactSeeds sends a message to hosts that may not know this one.
 func (n *node) contactSeeds() {
 	every, count := contactInterval, 1
-	if !n.joined || n.heard.IsZero() {
+	if n.detector.alone || n.now.Sub(n.started) < eagerTime {
 		every, count = joinContactInterval, joinContacts
 	}
 	if n.now.Sub(n.seeds.contact) < every {
@@ -133,7 +135,7 @@
 	}
 	n.seeds.contact = n.now
 	near, far := n.seedIDs()
-	if n.joined && n.rank < 0 {
+	if every == contactInterval && n.rank < 0 {
 		far = nil
 	}
 	for range count {
@@ -144,11 +146,12 @@
 }
 
 // seedIDs returns the hosts of the own and of other domains that only the list
-// has named, in order.
+// has named. A host that hears nobody takes all that it knows, because those it
+// knows as gone may have been replaced.
 func (n *node) seedIDs() (near, far []cove.HostID) {
 	for id, r := range n.table.records {
 		switch {
-		case !r.seed:
+		case id == n.self.ID || !r.seed && !n.detector.alone:
 		case r.Domain == n.self.Domain:
 			near = append(near, id)
 		default:
--- a/internal/fleet/member/sim_test.go
+++ b/internal/fleet/member/sim_test.go
@@ -48,9 +48,11 @@
 	procs map[cove.HostID]*process
 	old   []*process
 	runs  int
-	queue []delivery
-	cut   map[[2]cove.HostID]bool
-	list  []cove.ListedHost
+	// near and far hold the messages on the way, in order of arrival.
+	near []delivery
+	far  []delivery
+	cut  map[[2]cove.HostID]bool
+	list []cove.ListedHost
 	// sent counts messages and bytes by sender.
 	messages map[cove.HostID]int
 	bytes    map[cove.HostID]int
@@ -69,19 +71,19 @@
 func (t simPort) Send(to cove.HostID, m *peerpb.MemberBeat) {
 	f := t.f
 	f.messages[t.p.id]++
-	stripped := &peerpb.MemberBeat{}
-	proto.Merge(stripped, m)
-	stripped.Sender = nil
-	f.bytes[t.p.id] += proto.Size(stripped)
+	// On a stream only the first message carries the sender.
+	f.bytes[t.p.id] += proto.Size(m) - proto.Size(&peerpb.MemberBeat{Sender: m.Sender})
 	q := f.procs[to]
 	if q == nil || f.cut[[2]cove.HostID{t.p.id, to}] {
 		return
 	}
-	delay := nearDelay
-	if q.domain != t.p.domain {
-		delay = farDelay
+	d := delivery{at: f.clock.Now().Add(nearDelay), from: t.p, to: q, m: m}
+	if q.domain == t.p.domain {
+		f.near = append(f.near, d)
+		return
 	}
-	f.queue = append(f.queue, delivery{at: f.clock.Now().Add(delay), from: t.p, to: q, m: m})
+	d.at = f.clock.Now().Add(farDelay)
+	f.far = append(f.far, d)
 }
 
 // Hosts implements cove.HostList.
@@ -166,24 +168,25 @@
 }
 
 func (f *fleet) deliver() {
-	now := f.clock.Now()
-	for {
-		i := slices.IndexFunc(f.queue, func(d delivery) bool { return !d.at.After(now) })
-		if i < 0 {
-			return
-		}
-		d := f.queue[i]
-		f.queue = slices.Delete(f.queue, i, i+1)
-		switch {
-		case !d.to.up || f.cut[[2]cove.HostID{d.from.id, d.to.id}]:
-		case d.to.paused:
-			d.to.inbox = append(d.to.inbox, d)
-		default:
-			d.to.svc.Receive(d.from.id, d.m)
+	for _, q := range []*[]delivery{&f.near, &f.far} {
+		for len(*q) > 0 && !(*q)[0].at.After(f.clock.Now()) {
+			d := (*q)[0]
+			*q = (*q)[1:]
+			f.hand(d)
 		}
 	}
 }
 
+func (f *fleet) hand(d delivery) {
+	switch {
+	case !d.to.up || f.cut[[2]cove.HostID{d.from.id, d.to.id}]:
+	case d.to.paused:
+		d.to.inbox = append(d.to.inbox, d)
+	default:
+		d.to.svc.Receive(d.from.id, d.m)
+	}
+}
+
 // state returns how a process shows a host, and the incarnation.
 func (p *process) state(id cove.HostID) (cove.HostState, cove.Incarnation) {
 	for _, m := range p.svc.Snapshot() {
--- a/internal/fleet/member/stateful_test.go
+++ b/internal/fleet/member/stateful_test.go
@@ -100,7 +100,7 @@
 		set(statusUp)
 		a.zombies++
 	case doWakeOld:
-		a.zombies = 0
+		a.zombies, a.awake = 0, true
 	case doCut, doCutOneWay:
 		m.isCut, m.oneWay, m.cut, m.cutAt = true, c.do == doCutOneWay, [2]int{c.a, c.b}, m.now
 	case doSplit:
@@ -279,3 +279,36 @@
 		t.Errorf("%v %v\n%v", r.Status, r.Labels, r.Args)
 	}
 }
+
+// Guards against an oracle that accepts everything: it must catch members that
+// stay for ever, that are dropped on the word of one observer, and that are
+// taken for an earlier process.
+func TestOracleCatchesBrokenMembers(t *testing.T) {
+	first := make(map[string]cove.Incarnation)
+	for name, show := range map[string]shower{
+		"stays": func(p *process, id cove.HostID) (cove.HostState, cove.Incarnation) {
+			s, inc := p.state(id)
+			return min(s, cove.HostLeaving), inc
+		},
+		"hasty": func(p *process, id cove.HostID) (cove.HostState, cove.Incarnation) {
+			s, inc := p.state(id)
+			n := p.svc.node
+			if r := n.table.records[id]; r != nil && n.isTarget(id) && n.silence(r.heard, r.changed) > silentAfter {
+				s = cove.HostGone
+			}
+			return s, inc
+		},
+		"earlier": func(p *process, id cove.HostID) (cove.HostState, cove.Incarnation) {
+			s, inc := p.state(id)
+			k := fmt.Sprintf("%p %s", p, id)
+			if _, ok := first[k]; !ok && s == cove.HostLive {
+				first[k] = inc
+			}
+			return s, first[k]
+		},
+	} {
+		if checkMembers(60, show).Passed() {
+			t.Errorf("the oracle accepts members of the kind %q", name)
+		}
+	}
+}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -24,9 +24,15 @@
 	// mark is the highest epoch that was declared unreachable.
 	mark      uint64
 	markUntil time.Time
+	// version is the lowest version in force at the domain's hosts.
+	version cove.Version
+	// all holds every record of the domain.
+	all map[cove.HostID]*record
 	// hosts are the hosts that are not gone, in the order of their ids.
 	hosts []*record
 	hash  uint64
+	// turn chooses the next host to probe.
+	turn int
 	// seen is the newest evidence that a host of the domain lives.
 	seen time.Time
 }
@@ -54,12 +60,18 @@
 func (t *table) domain(name cove.Domain) *domain {
 	d := t.domains[name]
 	if d == nil {
-		d = &domain{name: name}
+		d = &domain{name: name, all: make(map[cove.HostID]*record)}
 		t.domains[name] = d
 	}
 	return d
 }
 
+// next returns the hosts of a domain in turn.
+func (d *domain) next() cove.HostID {
+	d.turn++
+	return d.hosts[d.turn%len(d.hosts)].ID
+}
+
 // marked reports whether the mark of its domain covers a record.
 func (t *table) marked(r *record) bool {
 	d := t.domains[r.Domain]
@@ -82,7 +94,9 @@
 		}
 	}
 	t.records[r.ID] = r
+	t.domain(r.Domain).all[r.ID] = r
 	if old != nil && old.Domain != r.Domain {
+		delete(t.domain(old.Domain).all, r.ID)
 		t.reindex(old.Domain)
 	}
 	t.reindex(r.Domain)
@@ -105,6 +119,7 @@
 		return
 	}
 	delete(t.records, id)
+	delete(t.domain(r.Domain).all, id)
 	t.reindex(r.Domain)
 }
 
@@ -128,8 +143,8 @@
 	t.hash ^= d.hash
 	d.hosts = d.hosts[:0:0]
 	d.hash = 0
-	for _, r := range t.records {
-		if r.Domain != name || r.State == cove.HostGone || r.seed {
+	for _, r := range d.all {
+		if r.State == cove.HostGone || r.seed {
 			continue
 		}
 		d.hosts = append(d.hosts, r)
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -7,8 +7,12 @@
 	"turmericcove.org/cove"
 )
 
-// seenInterval is the interval at which the times in a snapshot are renewed.
-const seenInterval = 500 * time.Millisecond
+const (
+	// seenInterval is the interval at which the times in a snapshot are renewed.
+	seenInterval = 500 * time.Millisecond
+	// viewGap is below tickInterval, so that the next tick shows a change.
+	viewGap = 20 * time.Millisecond
+)
 
 // view is a snapshot of the members with what was computed from it.
 type view struct {
@@ -21,8 +25,12 @@
 	revision uint64
 }
 
-// stale reports whether a view has to be made again.
+// stale reports whether a view has to be made again. Changes that arrive
+// together make one view.
 func (n *node) stale(v *view) bool {
+	if v != nil && n.now.Sub(v.made) < viewGap {
+		return false
+	}
 	return v == nil || v.revision != n.table.revision || v.made.Before(n.table.settles) ||
 		n.now.Sub(v.made) >= seenInterval
 }
@@ -39,6 +47,7 @@
 		m := r.Member
 		m.State = n.visible(r)
 		m.Seen = n.seen(r)
+		m.Version = n.version(r)
 		v.members = append(v.members, m)
 	}
 	slices.SortFunc(v.members, func(a, b cove.Member) int { return compareIDs(a.ID, b.ID) })
