Test notes, versions and leaving marks, and fuzz received messages

Cause: these parts had no test of their own. Change: tests on the manual clock and a fuzz target for the messages of other hosts.

--- /dev/null
+++ b/internal/fleet/member/spread_test.go
@@ -0,0 +1,109 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/wire/peerpb"
+)
+
+// Guards against notes and versions that get lost, stay in the wrong scope or
+// understate their age.
+func TestNotesAndVersionsSpread(t *testing.T) {
+	f := newFleet(map[cove.Domain]int{"a": 9, "b": 3, "c": 2})
+	f.run(5*time.Second, nil)
+	for _, p := range f.procs {
+		p.version = 7
+		for _, scope := range []cove.Scope{cove.ScopeDomain, cove.ScopeFleet} {
+			if err := p.svc.Post(scope, "room", []byte(p.id)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	posted := f.clock.Now()
+	f.run(9*time.Second, nil)
+	for _, p := range f.procs {
+		for _, m := range p.svc.Snapshot() {
+			if m.Version != 7 {
+				t.Errorf("%s shows version %d at %s", p.id, m.Version, m.ID)
+			}
+		}
+		peers, domains := p.svc.Notes(cove.ScopeDomain, "room"), p.svc.Notes(cove.ScopeFleet, "room")
+		if want := len(p.svc.Order(p.domain)) - 1; len(peers) != want || len(domains) != 2 {
+			t.Errorf("%s has notes of %d hosts and %d domains, want %d and 2", p.id, len(peers), len(domains), want)
+		}
+		for _, n := range append(peers, domains...) {
+			// The age is carried without the time on the way: 30 ms for each of at
+			// most 8 steps.
+			if spent := f.clock.Now().Sub(posted); n.Age > spent || n.Age < spent-8*farDelay {
+				t.Errorf("%s gives the age of a note as %v, posted %v ago", p.id, n.Age, spent)
+			}
+			if first := p.svc.Order(n.Domain)[0]; n.Scope == cove.ScopeFleet && n.Host != first {
+				t.Errorf("%s has the note of %s for domain %s, want that of %s", p.id, n.Host, n.Domain, first)
+			}
+		}
+	}
+	if err := f.procs["a00"].svc.Post(cove.ScopeDomain, "room", make([]byte, cove.MaxNoteBytes+1)); err == nil {
+		t.Error("a note above the bound was accepted")
+	}
+}
+
+// Guards against a leaving mark of the platform that is missed, or that hits the
+// process which has replaced the marked one while the list lags.
+func TestLeavingMark(t *testing.T) {
+	f := newFleet(map[cove.Domain]int{"a": 3, "b": 1})
+	f.run(8*time.Second, nil)
+	f.list[1].Leaving = true
+	f.run(7*time.Second, nil)
+	if s, _ := f.procs["b00"].state("a01"); s != cove.HostLeaving {
+		t.Errorf("a marked host is shown as %v", s)
+	}
+	f.procs["a01"].up = false
+	f.start("a01")
+	f.run(bound, nil)
+	for i := 0; i < 20 && !t.Failed(); i++ {
+		f.run(time.Second, nil)
+		if s, _ := f.procs["b00"].state("a01"); s != cove.HostLive {
+			t.Errorf("the mark of an earlier process shows its successor as %v", s)
+		}
+	}
+	f.run(20*time.Second, nil)
+	if s, _ := f.procs["b00"].state("a01"); s != cove.HostLeaving {
+		t.Errorf("a mark that stays above the lag of the list is ignored: %v", s)
+	}
+}
+
+// Guards against messages that crash a host or that pass its bounds.
+func FuzzReceive(f *testing.F) {
+	sim := newFleet(map[cove.Domain]int{"a": 2, "b": 1})
+	sim.run(bound, nil)
+	n := sim.procs["a01"].svc.node
+	for _, l := range n.links {
+		l.differs = n.now.Add(-time.Hour)
+		l.hashes = time.Time{}
+		n.send(l, true)
+	}
+	for _, e := range n.out {
+		b, err := proto.Marshal(e.m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	n.out = nil
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m peerpb.MemberBeat
+		if proto.Unmarshal(b, &m) != nil {
+			return
+		}
+		s := sim.procs["a00"].svc
+		s.Receive("a01", &m)
+		s.Step()
+		if len(s.node.table.records) > maxRecords || len(s.node.notes) > maxNotes {
+			t.Errorf("%d records and %d notes", len(s.node.table.records), len(s.node.notes))
+		}
+	})
+}
