Forward waiters in the order of their turns

Cause: while requests waited here, a new one could take the room of another host past them, so a team with more requests got more of that room. Change: with waiters present, room elsewhere goes to the waiter whose turn it is, on arrivals and on each step. Figures: TestForwardsTakeTurns: of two places, one goes to each of two teams that have 5 waiters and 1.

--- a/internal/limit/admit/admit.go
+++ b/internal/limit/admit/admit.go
@@ -208,6 +208,7 @@
 	if dropped := p.queue.push(w); dropped != nil {
 		dropped.done <- outcome{refusal: cove.Refuse(http.StatusServiceUnavailable, cove.ReasonQueueFull, "the queue of the pool is full")}
 	}
+	p.offload(pl, 1, now)
 	p.mu.Unlock()
 	return a.await(ctx, p, w)
 }
--- a/internal/limit/admit/admit_test.go
+++ b/internal/limit/admit/admit_test.go
@@ -139,6 +139,48 @@
 	}
 }
 
+// Guards against a team that gets all the room of other hosts because it sends
+// more requests than others.
+func TestForwardsTakeTurns(t *testing.T) {
+	w := settledWorld(testTable(1, 1, "d0"), "d0", "d0")
+	h := w.hosts[0]
+	if held(h) == 0 {
+		h = w.hosts[1]
+	}
+	if err := h.admit(cove.WorkClass{}); err != nil {
+		t.Fatal(err)
+	}
+	var greedy []chan any
+	for i := range 5 {
+		greedy = append(greedy, h.async(context.Background(), cove.WorkClass{Team: "greedy"}, cove.Exclude{}))
+		h.waitQueued(i + 1)
+	}
+	other := h.async(context.Background(), cove.WorkClass{Team: "other"}, cove.Exclude{})
+	h.waitQueued(6)
+	p := h.pool()
+	p.mu.Lock()
+	p.peers = []peerRoom{{host: "peer", free: 2}}
+	p.mu.Unlock()
+	// The request that finds the room joins the queue; one waiter goes.
+	late := h.async(context.Background(), cove.WorkClass{Team: "greedy"}, cove.Exclude{})
+	h.waitQueued(6)
+	p.mu.Lock()
+	p.offload(h.adm.plan.Load(), offloadStep, w.clock.Now())
+	p.mu.Unlock()
+	if pm, ok := (<-greedy[0]).(cove.Permit); !ok || pm.Target().Host != "peer" {
+		t.Errorf("first waiter: %v", pm)
+	}
+	if pm, ok := (<-other).(cove.Permit); !ok || pm.Target().Host != "peer" {
+		t.Errorf("waiter of the other team: %v", pm)
+	}
+	p.mu.Lock()
+	p.refuseAll()
+	p.mu.Unlock()
+	if err, _ := (<-late).(error); reason(err) != cove.ReasonNoRoom {
+		t.Errorf("late request: %v", err)
+	}
+}
+
 // Guards against more traffic on a link than this host's part, and against a
 // shift that goes on when the link is full.
 func TestLinkShare(t *testing.T) {
--- a/internal/limit/admit/place.go
+++ b/internal/limit/admit/place.go
@@ -62,7 +62,8 @@
 		if p.elsewhere() {
 			return nil, refuseNoRoom("another host has room")
 		}
-	} else {
+	} else if p.queue.n == 0 || !local {
+		p.offload(pl, offloadStep, now)
 		var pm *permit
 		pm, full = p.forward(pl, work, ex, moved, wait, local, now)
 		if pm != nil {
@@ -80,6 +81,25 @@
 	return nil, refuseNoRoom("no backend server has room before the deadline")
 }
 
+// offload forwards up to n waiters to places with room, in the order of their
+// turns. A new request that went there past the waiters would give a team that
+// sends more than others a larger share.
+func (p *pool) offload(pl *plan, n int, now time.Time) {
+	for range n {
+		w := p.queue.peek()
+		if w == nil || w.work.Forwarded || late(w.work.Deadline, now, p.service) {
+			return
+		}
+		wait, local := p.wait(&w.work)
+		pm, _ := p.forward(pl, &w.work, &w.ex, w.moved, wait, local, now)
+		if pm == nil {
+			return
+		}
+		p.queue.pop()
+		w.done <- outcome{permit: pm}
+	}
+}
+
 // elsewhere reports whether another host is likely to have room.
 func (p *pool) elsewhere() bool {
 	for i := range p.peers {
--- a/internal/limit/admit/queue.go
+++ b/internal/limit/admit/queue.go
@@ -125,19 +125,26 @@
 	return nil
 }
 
-// pop removes the waiter whose turn it is, or returns nil.
-func (q *queue) pop() *waiter {
+// peek returns the waiter whose turn it is, or nil.
+func (q *queue) peek() *waiter {
 	for _, l := range q.levels {
-		if l.n == 0 {
-			continue
+		if l.n > 0 {
+			return l.turn()
 		}
-		w := l.turn()
-		q.remove(w)
-		return w
 	}
 	return nil
 }
 
+// pop removes the waiter whose turn it is, or returns nil.
+func (q *queue) pop() *waiter {
+	w := q.peek()
+	if w != nil {
+		w.team.deficit -= cost(&w.work)
+		q.remove(w)
+	}
+	return w
+}
+
 // remove takes a waiter out of the queue.
 func (q *queue) remove(w *waiter) {
 	t := w.team
@@ -210,8 +217,7 @@
 			t.deficit += l.quantum * t.weight
 			t.topped = true
 		}
-		if c := cost(&t.head.work); t.deficit >= c {
-			t.deficit -= c
+		if t.deficit >= cost(&t.head.work) {
 			return t.head
 		}
 		t.topped = false
--- a/internal/limit/admit/step.go
+++ b/internal/limit/admit/step.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// offloadStep bounds the waiters that one step forwards.
+const offloadStep = 64
+
 // Step brings the state up to date with register, board, members and health.
 // Start calls it at intervals.
 func (a *Admitter) Step() {
@@ -154,6 +157,7 @@
 		p.refresh(now)
 		p.expire(now)
 		p.dispatch(now)
+		p.offload(pl, offloadStep, now)
 		if p.limit == 0 {
 			p.refuseAll()
 		}
