Wait for the state that a test needs

Cause: TestForwardsTakeTurns hung under load: it waited for a queue length that was reached before its last request arrived. Change: the test waits for the forward as well. Conclusion: the fault was in the test only.

--- a/internal/limit/admit/admit_test.go
+++ b/internal/limit/admit/admit_test.go
@@ -49,11 +49,16 @@
 func (h *host) pool() *pool { return h.adm.plan.Load().pools[testPool] }
 
 func (h *host) waitQueued(n int) {
+	h.waitUntil(func(p *pool) bool { return p.queue.n == n })
+}
+
+func (h *host) waitUntil(cond func(p *pool) bool) {
+	p := h.pool()
 	for {
-		h.pool().mu.Lock()
-		got := h.pool().queue.n
-		h.pool().mu.Unlock()
-		if got == n {
+		p.mu.Lock()
+		ok := cond(p)
+		p.mu.Unlock()
+		if ok {
 			return
 		}
 		time.Sleep(time.Millisecond)
@@ -163,7 +168,7 @@
 	p.mu.Unlock()
 	// The request that finds the room joins the queue; one waiter goes.
 	late := h.async(context.Background(), cove.WorkClass{Team: "greedy"}, cove.Exclude{})
-	h.waitQueued(6)
+	h.waitUntil(func(p *pool) bool { return p.queue.n == 6 && p.peers[0].sent == 1 })
 	p.mu.Lock()
 	p.offload(h.adm.plan.Load(), offloadStep, w.clock.Now())
 	p.mu.Unlock()
