--- a/internal/limit/admit/queue.go
+++ b/internal/limit/admit/queue.go
@@ -135,37 +135,48 @@
 	return nil
 }
 
-// pop removes the waiter whose turn it is, or returns nil.
-func (q *queue) pop(now time.Time) *waiter {
-	l := q.next()
+// peek returns the waiter whose turn it is, or nil.
+func (q *queue) peek() *waiter {
+	l, _ := q.next()
 	if l == nil {
 		return nil
 	}
-	w := l.turn()
-	q.remove(w)
-	l.wait += waitDecay * float64(now.Sub(w.since)-time.Duration(l.wait))
-	return w
+	return l.turn()
 }
 
 // next returns the level whose turn it is: the highest priority with waiters,
 // and in one of lowerTurn turns the one below it, so that a steady load of high
-// priority does not keep others waiting until their deadline.
-func (q *queue) next() *level {
-	var first *level
+// priority does not keep others waiting until their deadline. contested tells
+// that both have waiters.
+func (q *queue) next() (turn *level, contested bool) {
 	for _, l := range q.levels {
 		switch {
 		case l.n == 0:
-		case first == nil:
-			first = l
+		case turn == nil:
+			turn = l
+		case q.turns%lowerTurn == lowerTurn-1:
+			return l, true
 		default:
-			q.turns++
-			if q.turns%lowerTurn == 0 {
-				return l
-			}
-			return first
+			return turn, true
 		}
 	}
-	return first
+	return turn, false
+}
+
+// pop removes the waiter whose turn it is, or returns nil.
+func (q *queue) pop(now time.Time) *waiter {
+	l, contested := q.next()
+	if l == nil {
+		return nil
+	}
+	if contested {
+		q.turns++
+	}
+	w := l.turn()
+	w.team.deficit -= cost(&w.work)
+	q.remove(w)
+	l.wait += waitDecay * float64(now.Sub(w.since)-time.Duration(l.wait))
+	return w
 }
 
 // remove takes a waiter out of the queue.
@@ -250,8 +261,7 @@
 			t.deficit += l.quantum * t.weight
 			t.topped = true
 		}
-		if c := cost(&t.head.work); t.deficit >= c {
-			t.deficit -= c
+		if t.deficit >= cost(&t.head.work) {
 			return t.head
 		}
 		t.topped = false
