--- a/internal/fleet/member/spread_test.go
+++ b/internal/fleet/member/spread_test.go
@@ -107,3 +107,32 @@
 		}
 	})
 }
+
+// Guards against a lost rack or failure domain that stays in lookups because
+// its hosts were each other's observers.
+func TestRackAndDomainLoss(t *testing.T) {
+	for name, lost := range map[string]func(p *process) bool{
+		"rack":   func(p *process) bool { return p.domain == "a" && p.id < "a06" },
+		"domain": func(p *process) bool { return p.domain == "c" },
+	} {
+		f := newFleet(map[cove.Domain]int{"a": 20, "b": 8, "c": 8, "d": 8})
+		f.run(6*time.Second, nil)
+		for _, p := range f.procs {
+			p.up = !lost(p)
+		}
+		f.run(bound, func() {
+			for _, m := range f.procs["b00"].svc.Snapshot() {
+				if f.procs[m.ID].up && m.State != cove.HostLive {
+					t.Fatalf("%s: %s is shown as %v for a moment", name, m.ID, m.State)
+				}
+			}
+		})
+		for _, o := range f.procs {
+			for _, m := range o.svc.Snapshot() {
+				if o.up && (m.State == cove.HostLive) != f.procs[m.ID].up {
+					t.Errorf("%s: %s shows %s as %v", name, o.id, m.ID, m.State)
+				}
+			}
+		}
+	}
+}
