Halve the messages of gateways to other domains

Cause: a gateway sent 12 messages/s, twice as many as another host. Change: each of the two gateways of a domain sends to the neighbouring domains every second instead of every 500 ms, and only the two domains next to its own are watched for silence.

--- a/internal/fleet/member/ring.go
+++ b/internal/fleet/member/ring.go
@@ -10,11 +10,13 @@
 
 const (
 	gatewaysPerDomain = 2
-	// ringPeriod is the interval of heartbeats to the next hosts and domains
-	// of a ring, chordPeriod that to the ones a square root of the ring away.
-	// With both, a ring of 28 is crossed in 5 steps.
+	// ringPeriod is the interval of heartbeats to the next hosts of a ring,
+	// chordPeriod that to the ones a square root of the ring away. With both, a
+	// ring of 28 is crossed in 5 steps.
 	ringPeriod  = 500 * time.Millisecond
 	chordPeriod = time.Second
+	// Each of the two gateways speaks to other domains at half that rate.
+	domainFactor = 2
 	// minChords is the smallest ring that has chords; in smaller ones they
 	// save no step.
 	minChords = 6
@@ -84,12 +86,13 @@
 		if len(gs) == 0 {
 			continue
 		}
-		out = append(out, target{id: gs[min(rank, len(gs)-1)].ID, period: periodOf(i)})
+		out = append(out, target{id: gs[min(rank, len(gs)-1)].ID, period: domainFactor * periodOf(i)})
 	}
 	return out
 }
 
-// neighbourDomains returns the domains that this host's domain watches.
+// neighbourDomains returns the domains that this host's domain watches: those
+// next to it in the ring, because heartbeats of the others come too seldom.
 func (n *node) neighbourDomains() []cove.Domain {
 	names := n.table.names
 	at := slices.Index(names, n.self.Domain)
@@ -97,7 +100,8 @@
 		return nil
 	}
 	var out []cove.Domain
-	for _, d := range distances(len(names)) {
+	ds := distances(len(names))
+	for _, d := range ds[:min(len(ds), 2)] {
 		out = append(out, names[(at+d)%len(names)])
 	}
 	return out
