--- /dev/null
+++ b/internal/wire/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated messages between entry hosts.
+package peerpb
