Keep hosts without spare quota from using up the requests for loans

Cause: hosts were asked in a fixed order, so that those with nothing to lend took all of the 16 requests/s and others with spare quota were never asked; after the crash of a host with all traffic the team stayed at 607 of 1,000/s. The ticket parser also accepted line breaks, so that a ticket had several forms. Change: the order rotates, a host that refuses repeatedly is left alone for longer, and quota is asked for as soon as demand exceeds the rate. Tickets have one form.

--- a/internal/limit/once/ticket.go
+++ b/internal/limit/once/ticket.go
@@ -71,7 +71,9 @@
 	end := len(b) - macBytes
 	t.host = cove.HostID(b[28:end])
 	copy(t.mac[:], b[end:])
-	return t, true
+	// The decoder ignores line breaks, so that a ticket would have more than
+	// one form and could run once in each.
+	return t, t.encode() == key
 }
 
 // Ticket mints a key that only this incarnation runs, for one team.
--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -20,7 +20,11 @@
 	// askEvery is the time between rounds of asking for a team.
 	askEvery = 50 * time.Millisecond
 	// refusedFor is how long a host that lent too little is not asked again.
+	// It doubles with each refusal in a row, so that hosts without spare quota
+	// do not use up the requests that others could answer.
 	refusedFor = 200 * time.Millisecond
+	// maxDoubled bounds the doubling.
+	maxDoubled = 2
 	// silentFor is how long a host that did not answer is not asked again.
 	silentFor = time.Second
 	// extendAhead is the rest of a loan at which its extension is requested.
@@ -45,6 +49,19 @@
 	emptyUntil time.Time
 	// held holds hosts that are not to be asked before a time.
 	held map[cove.HostID]time.Time
+	// refusals counts the refusals in a row.
+	refusals map[cove.HostID]int
+	// start rotates the order in which near hosts are asked.
+	start int
+}
+
+// refused holds a host that lent too little.
+func (a *asks) refused(id cove.HostID, now time.Time) {
+	if a.refusals == nil {
+		a.refusals = make(map[cove.HostID]int)
+	}
+	a.hold(id, now.Add(refusedFor<<min(a.refusals[id], maxDoubled)))
+	a.refusals[id]++
 }
 
 // call is a request to one lender for all teams.
@@ -209,6 +226,7 @@
 	t.advance(c.now)
 	need, tokens := t.shortage()
 	if need == (rate.Quota{}) {
+		clear(t.asks.refusals)
 		return
 	}
 	t.asks.next = c.now.Add(askEvery)
@@ -244,13 +262,13 @@
 }
 
 // shortage returns the quota and the tokens that the team lacks, if it would
-// run dry within the horizon.
+// run dry within the horizon or spends more than it earns.
 func (t *team) shortage() (rate.Quota, rate.Amount) {
 	have := t.bucket.Quota()
 	ahead := t.demand.Scale(int64(horizon), int64(time.Second)) + t.short
 	earned := have.Rate.Scale(int64(horizon), int64(time.Second))
 	level := t.bucket.Level()
-	if level+earned >= ahead+t.short {
+	if level+earned >= ahead+t.short && have.Rate >= t.demand {
 		return rate.Quota{}, 0
 	}
 	tokens := max(0, ahead-level)
@@ -287,7 +305,10 @@
 	if debtor != "" && c.mayAsk(t, debtor) {
 		out = append(out, debtor)
 	}
-	for _, id := range c.s.order.near {
+	near := c.s.order.near
+	t.asks.start++
+	for i := range near {
+		id := near[(i+t.asks.start)%len(near)]
 		if len(out) < maxAsked && id != debtor && c.mayAsk(t, id) {
 			out = append(out, id)
 		}
--- a/internal/limit/share/grant.go
+++ b/internal/limit/share/grant.go
@@ -92,7 +92,9 @@
 		t.asks.hold(c.to, now.Add(silentFor))
 		return
 	case g == nil || g.GetRate() < a.GetRate():
-		t.asks.hold(c.to, now.Add(refusedFor))
+		t.asks.refused(c.to, now)
+	default:
+		delete(t.asks.refusals, c.to)
 	}
 	if g == nil {
 		s.cfg.Counters.Add("loan.denied", 1)
--- a/internal/limit/share/service.go
+++ b/internal/limit/share/service.go
@@ -162,8 +162,10 @@
 
 const (
 	tickEvery = 25 * time.Millisecond
-	callTime  = 700 * time.Millisecond
-	storeTime = 1200 * time.Millisecond
+	// nudgeEvery bounds how often waiting requests start a round of loans.
+	nudgeEvery = 2 * time.Millisecond
+	callTime   = 700 * time.Millisecond
+	storeTime  = 1200 * time.Millisecond
 )
 
 func (s *Service) runLoans(ctx context.Context) error {
@@ -174,6 +176,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-s.nudge:
+			if err := s.cfg.Clock.Sleep(ctx, nudgeEvery); err != nil {
+				return nil
+			}
 		case <-timer.C():
 			timer.Reset(tickEvery)
 		}
