--- a/internal/ops/admin/api.go
+++ b/internal/ops/admin/api.go
@@ -2,6 +2,7 @@
 package admin
 
 import (
+	"fmt"
 	"time"
 
 	"turmericcove.org/cove"
@@ -133,6 +134,15 @@
 	Age    cove.Duration `json:"age"`
 }
 
+// Room describes the room in words. The number of slots of another host of the
+// domain is not known.
+func (p PoolStatus) Room() string {
+	if p.Limit == 0 && p.Free > 0 {
+		return fmt.Sprintf("free %d", p.Free)
+	}
+	return fmt.Sprintf("free %d of %d, %d queued", p.Free, p.Limit, p.Queued)
+}
+
 // ShareStatus describes a host's part of a team's rate.
 type ShareStatus struct {
 	Team     cove.Team `json:"team"`
