Read settings, cases and tables with one checker of JSON

Cause: settings and cases had one decoder that reports unknown fields and wrong types with their lines, the tables another. Change: the one of the tables moves to internal/core/jsonc and serves all three. Conclusion: one piece of code for one job.

--- a/internal/core/jsonc/jsonc.go
+++ b/internal/core/jsonc/jsonc.go
@@ -4,10 +4,7 @@
 
 import (
 	"bytes"
-	"encoding"
-	"encoding/json"
 	"fmt"
-	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -59,16 +56,20 @@
 	faults Faults
 }
 
-// Decode parses src into v, which points to a struct. Unknown fields and wrong
-// types are collected as faults of the returned file; the error is for text
-// that is no JSON at all.
+// Decode is Read for a file whose values are checked further: Faultf adds faults
+// to those of the returned file, and Err returns all.
 func Decode(name string, src []byte, v any) (*File, error) {
 	root, err := hujson.Parse(src)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s", name)
 	}
 	f := &File{name: name, src: src, root: root}
-	f.decode(&f.root, reflect.ValueOf(v).Elem(), "")
+	if f.faults, err = read(root.Clone(), src, v); err != nil {
+		return nil, errors.Wrapf(err, "%s", name)
+	}
+	for i := range f.faults {
+		f.faults[i].File = name
+	}
 	return f, nil
 }
 
@@ -121,111 +122,3 @@
 	}
 	return sb.String()
 }
-
-var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
-
-func (f *File) decode(v *hujson.Value, dst reflect.Value, pointer string) {
-	switch x := v.Value.(type) {
-	case *hujson.Object:
-		if dst.Kind() == reflect.Struct && !dst.Addr().Type().Implements(textType) {
-			f.decodeObject(x, dst, pointer)
-			return
-		}
-	case *hujson.Array:
-		if dst.Kind() == reflect.Slice {
-			f.decodeArray(x, dst, pointer)
-			return
-		}
-	}
-	f.decodeLeaf(v, dst, pointer)
-}
-
-func (f *File) decodeObject(obj *hujson.Object, dst reflect.Value, pointer string) {
-	seen := make(map[string]bool, len(obj.Members))
-	for i := range obj.Members {
-		m := &obj.Members[i]
-		name := m.Name.Value.(hujson.Literal).String()
-		at := pointer + "/" + name
-		if seen[name] {
-			f.Faultf(at, "remove one of the two", "field is given twice")
-			continue
-		}
-		seen[name] = true
-		field, ok := fieldByName(dst, name)
-		if !ok {
-			f.Faultf(at, "use one of "+strings.Join(fieldNames(dst.Type()), ", "), "unknown field")
-			continue
-		}
-		f.decode(&m.Value, field, at)
-	}
-}
-
-func (f *File) decodeArray(arr *hujson.Array, dst reflect.Value, pointer string) {
-	dst.Set(reflect.MakeSlice(dst.Type(), len(arr.Elements), len(arr.Elements)))
-	for i := range arr.Elements {
-		f.decode(&arr.Elements[i], dst.Index(i), pointer+"/"+strconv.Itoa(i))
-	}
-}
-
-func (f *File) decodeLeaf(v *hujson.Value, dst reflect.Value, pointer string) {
-	std := v.Clone()
-	std.Standardize()
-	if err := json.Unmarshal(std.Pack(), dst.Addr().Interface()); err != nil {
-		f.Faultf(pointer, "give "+kindName(dst.Type()), "%s", leafError(err))
-	}
-}
-
-func leafError(err error) string {
-	var typeErr *json.UnmarshalTypeError
-	if errors.As(err, &typeErr) {
-		return "unexpected " + typeErr.Value
-	}
-	return err.Error()
-}
-
-// kindName describes a type to an operator.
-func kindName(t reflect.Type) string {
-	if reflect.PointerTo(t).Implements(textType) {
-		return fmt.Sprintf("a %s as text", strings.ToLower(t.Name()))
-	}
-	switch t.Kind() {
-	case reflect.String:
-		return "a string"
-	case reflect.Bool:
-		return "true or false"
-	case reflect.Struct, reflect.Map:
-		return "an object"
-	case reflect.Slice:
-		return "an array"
-	default:
-		return "a number (" + t.Kind().String() + ")"
-	}
-}
-
-func fieldByName(dst reflect.Value, name string) (reflect.Value, bool) {
-	t := dst.Type()
-	for i := range t.NumField() {
-		if tagName(t.Field(i)) == name {
-			return dst.Field(i), true
-		}
-	}
-	return reflect.Value{}, false
-}
-
-func fieldNames(t reflect.Type) []string {
-	var names []string
-	for i := range t.NumField() {
-		if name := tagName(t.Field(i)); name != "" {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-func tagName(f reflect.StructField) string {
-	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-	if name == "-" {
-		return ""
-	}
-	return name
-}
