Let a paused host keep slots that the register proves to be its own

Cause: admission asks the register when it was last read (Checked), so that a host that was paused while its peers are down gets its slots back. The register did not offer it. Ruled out: taking a plain read for proof. The store may answer with an older state that still lists a host which was removed, and its slots would be used twice. Change: Checked returns the time before the last read that a commit on the same revision has proved.

--- a/internal/limit/share/register.go
+++ b/internal/limit/share/register.go
@@ -40,6 +40,16 @@
 	return append([]cove.Registered(nil), f.hosts...)
 }
 
+// Checked returns when the last read of the own failure domain's register was
+// sent that was proved to be the newest state. A plain read proves nothing,
+// because the store may answer with an older state; a commit on its revision
+// does.
+func (s *Service) Checked() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rowProved
+}
+
 // Watch implements cove.Register. fn is called from the task that learned of
 // the change.
 func (s *Service) Watch(fn func()) {
--- a/internal/limit/share/service.go
+++ b/internal/limit/share/service.go
@@ -46,10 +46,13 @@
 
 	// mu guards the fields below. It is never held during a call to the store
 	// or to a peer. Teams are locked after it.
-	mu         sync.Mutex
-	table      *cove.Table
-	row        *row
-	revision   uint64
+	mu       sync.Mutex
+	table    *cove.Table
+	row      *row
+	revision uint64
+	// rowProved is when the last read was sent that a commit has proved to be
+	// the newest state of the row.
+	rowProved  time.Time
 	registered bool
 	// replaced is set when another incarnation has registered at this host's
 	// address. This one never registers again.
--- a/internal/limit/share/write.go
+++ b/internal/limit/share/write.go
@@ -87,6 +87,7 @@
 	if err == nil {
 		// An earlier open commit requires an older revision.
 		s.open = nil
+		s.rowProved = sent
 		if taking {
 			s.cfg.Counters.Add("share.taken", 1)
 		}
