Let good keys pass from an address that sends bad ones

All callers share one address; after a key was withdrawn, its caller went on with it, and a host remembered only four good keys for an address, so those of the other teams were charged as guesses. Change: good keys are remembered by host, not by address, in 512 KB for 65,536 keys. A key that is known to be good is never charged. Besides: a case whose fault did not happen now fails. The cutover of case shift had moved a pool that its route does not use, and nothing said so; positions count the servers of the main pool. One of 4 turns goes to a lower priority. Conclusion: the guess limit hits guesses only.

--- a/internal/bench/trial/inject.go
+++ b/internal/bench/trial/inject.go
@@ -172,11 +172,17 @@
 	return func() { r.rig.Network.Heal(pairs...) }, nil
 }
 
+// mainPool returns the index of the pool that the first kind of request uses.
+func (r *run) mainPool(t *cove.Table) int {
+	name := poolOf(t, r.shapes()[0].Route)
+	return slices.IndexFunc(t.Pools, func(p cove.Pool) bool { return p.Name == name })
+}
+
 // serverRow finds a backend server of the tables; a position counts those of
-// the first pool.
+// the main pool.
 func (r *run) serverRow(target string) (cove.PoolName, cove.Server, error) {
 	if i, ok := index(target); ok {
-		p := r.rig.Table.Pools[0]
+		p := r.rig.Table.Pools[r.mainPool(r.rig.Table)]
 		return p.Name, p.Servers[i%len(p.Servers)], nil
 	}
 	for _, p := range r.rig.Table.Pools {
@@ -307,7 +313,7 @@
 	return slices.ContainsFunc(r.Faults, func(f Fault) bool { return f.Kind == FaultWeights })
 }
 
-// addCutover divides the first pool: the servers of the last region move to a
+// addCutover divides the main pool: the servers of the last region move to a
 // pool of their own, to which the first route moves during the run.
 func (r *run) addCutover(t *cove.Table) error {
 	if !r.hasCutover() {
@@ -317,11 +323,12 @@
 	if last == t.Domains[0].Region {
 		return errors.New("a cutover needs failure domains of two regions")
 	}
-	old := t.Pools[0]
+	main := r.mainPool(t)
+	old := t.Pools[main]
 	next := old
 	next.Name = old.Name + cutoverSuffix
 	next.Servers, old.Servers = nil, nil
-	for _, s := range t.Pools[0].Servers {
+	for _, s := range t.Pools[main].Servers {
 		if s.Region == last {
 			next.Servers = append(next.Servers, s)
 			continue
@@ -329,7 +336,7 @@
 		old.Servers = append(old.Servers, s)
 	}
 	t.Pools = append(slices.Clone(t.Pools), next)
-	t.Pools[0] = old
+	t.Pools[main] = old
 	return nil
 }
 
--- a/internal/bench/trial/judge.go
+++ b/internal/bench/trial/judge.go
@@ -29,7 +29,7 @@
 	r.judgeAnswers(out, &t)
 	r.judgeTeams(out)
 	r.judgeTimes(out, &t)
-	if limit := r.rig.Table.Pools[0].ShiftCap; r.hasCutover() {
+	if limit := r.rig.Table.Pools[r.mainPool(r.rig.Table)].ShiftCap; r.hasCutover() {
 		out.CapExceeded = t.capExcess(limit)
 	}
 	return out
--- a/internal/bench/trial/mix.go
+++ b/internal/bench/trial/mix.go
@@ -45,13 +45,18 @@
 // burstSeconds is a team's burst in seconds of its rate.
 const burstSeconds = 0.5
 
+// shapes returns the kinds of requests of a run.
+func (r *run) shapes() []load.Shape {
+	if len(r.Shapes) > 0 {
+		return r.Shapes
+	}
+	return mixes[r.Deployment]
+}
+
 // newOffer computes the load that fills the tightest pool to the case's share,
 // sets the teams' limits in the table, and gives each team a key.
-func (c *Case) newOffer(deployment string, t *cove.Table) (*offer, error) {
-	o := &offer{shapes: c.Shapes, limits: make(map[cove.Team]cove.TeamRow)}
-	if len(o.shapes) == 0 {
-		o.shapes = mixes[deployment]
-	}
+func (c *Case) newOffer(shapes []load.Shape, t *cove.Table) (*offer, error) {
+	o := &offer{shapes: shapes, limits: make(map[cove.Team]cove.TeamRow)}
 	rate, err := fullRate(t, o.shapes, time.Duration(c.ServiceTime))
 	if err != nil {
 		return nil, err
--- a/internal/bench/trial/run.go
+++ b/internal/bench/trial/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +83,9 @@
 	for _, h := range r.rig.Hosts {
 		r.counts.addHost(h)
 	}
+	if len(r.marks.failures) > 0 {
+		return nil, nil, errors.Errorf("a fault of the case did not happen: %s", strings.Join(r.marks.failures, "; "))
+	}
 	return r.report(), r.series(), nil
 }
 
@@ -104,7 +108,7 @@
 	if err := r.addCutover(dep.Table); err != nil {
 		return err
 	}
-	if r.offer, err = r.newOffer(r.Deployment, dep.Table); err != nil {
+	if r.offer, err = r.newOffer(r.shapes(), dep.Table); err != nil {
 		return err
 	}
 	var callerKeys []string
--- a/internal/limit/admit/queue.go
+++ b/internal/limit/admit/queue.go
@@ -17,7 +17,7 @@
 	// waitDecay is the weight of one wait in the moving mean.
 	waitDecay = 0.1
 	// lowerTurn is how often a lower priority has its turn before a higher one.
-	lowerTurn = 8
+	lowerTurn = 4
 )
 
 // searchStep is the number of teams that are compared when a waiter has to give
--- a/internal/state/keys/guard.go
+++ b/internal/state/keys/guard.go
@@ -4,6 +4,7 @@
 	"hash/maphash"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,8 +20,9 @@
 	guardShards = 64
 	guardSets   = 256
 	guardWays   = 4
-	// marksPerAddress is how many good keys are remembered for one address.
-	marksPerAddress = 4
+	// goodSets and goodWays give room for 65,536 good keys.
+	goodSets = 16384
+	goodWays = 4
 	// ipv6Bits is the prefix of an IPv6 address that counts as one address,
 	// because a caller usually controls a whole /64.
 	ipv6Bits = 64
@@ -28,11 +30,44 @@
 
 // guard limits the bad keys of each address in bounded memory. Addresses that
 // have presented a good key are kept apart, so that a flood from others cannot
-// push them out; over the limit, such an address still gets the keys through
-// that were good before.
+// push them out. A key that was good before passes from any address, since many
+// teams may share one and a single wrong key must not shut out the others.
 type guard struct {
 	seed   maphash.Seed
 	shards [guardShards]guardShard
+	good   goodKeys
+}
+
+// goodKeys remembers keys that were good, by their marks. A lost update only
+// makes a key be charged once more.
+type goodKeys [goodSets][goodWays]atomic.Uint64
+
+func (k *goodKeys) has(mark uint64) bool {
+	set := &k[mark>>1%goodSets]
+	for i := range set {
+		if set[i].Load() == mark {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *goodKeys) add(mark uint64) {
+	set := &k[mark>>1%goodSets]
+	for i := range set {
+		if old := set[i].Load(); old == 0 || old == mark {
+			set[i].Store(mark)
+			return
+		}
+	}
+	set[mark>>32%goodWays].Store(mark)
+}
+
+func (k *goodKeys) remove(mark uint64) {
+	set := &k[mark>>1%goodSets]
+	for i := range set {
+		set[i].CompareAndSwap(mark, 0)
+	}
 }
 
 // guardShard allocates its sets at first use.
@@ -51,9 +86,7 @@
 
 type knownAddr struct {
 	guessed
-	used  time.Time
-	marks [marksPerAddress]uint64
-	next  int
+	used time.Time
 }
 
 func newGuard() *guard { return &guard{seed: maphash.MakeSeed()} }
@@ -90,14 +123,13 @@
 // was not good before is charged as a bad one at once, which saves the bad key
 // a second visit; good takes the charge back.
 func (g *guard) allow(addr, mark uint64, now time.Time) (ok, charged bool) {
+	if g.good.has(mark) {
+		return true, false
+	}
 	s, set := g.shard(addr)
 	s.lock()
 	defer s.mu.Unlock()
 	if e := findKnown(&s.known[set], addr); e != nil {
-		if e.has(mark) {
-			e.used = now
-			return true, false
-		}
 		return e.charge(now), true
 	}
 	e := findGuessed(&s.unknown[set], addr)
@@ -111,6 +143,7 @@
 // bad charges a key that was good before, for instance a withdrawn one, and
 // forgets it.
 func (g *guard) bad(addr, mark uint64, now time.Time) {
+	g.good.remove(mark)
 	s, set := g.shard(addr)
 	s.lock()
 	defer s.mu.Unlock()
@@ -119,15 +152,10 @@
 		return
 	}
 	e.charge(now)
-	for i := range e.marks {
-		if e.marks[i] == mark {
-			e.marks[i] = 0
-		}
-	}
 }
 
-// good remembers the address and the key and takes the charge back.
-func (g *guard) good(addr, mark uint64, now time.Time) {
+// remember notes the address and the key and takes the charge back.
+func (g *guard) remember(addr, mark uint64, now time.Time) {
 	s, set := g.shard(addr)
 	s.lock()
 	defer s.mu.Unlock()
@@ -141,10 +169,7 @@
 	}
 	e.debt = max(0, e.debt-1)
 	e.used = now
-	if !e.has(mark) {
-		e.marks[e.next%marksPerAddress] = mark
-		e.next++
-	}
+	g.good.add(mark)
 }
 
 func findKnown(set *[guardWays]knownAddr, addr uint64) *knownAddr {
@@ -197,12 +222,3 @@
 	e.debt++
 	return true
 }
-
-func (e *knownAddr) has(mark uint64) bool {
-	for _, m := range e.marks {
-		if m == mark {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -114,7 +114,7 @@
 	case !ok && !charged:
 		k.guard.bad(addr, mark, now)
 	case ok && charged:
-		k.guard.good(addr, mark, now)
+		k.guard.remember(addr, mark, now)
 	}
 	if !ok {
 		return cove.Principal{}, refuseBadKey
--- a/internal/state/keys/keys_test.go
+++ b/internal/state/keys/keys_test.go
@@ -136,6 +136,31 @@
 	}
 }
 
+// TestSharedAddress guards against teams that are shut out because another
+// caller behind the same address goes on with a withdrawn key.
+func TestSharedAddress(t *testing.T) {
+	const teams = 40
+	k, ts, c := newKeys(t, "red")
+	shared := netip.MustParseAddr("192.0.2.1")
+	var good []string
+	for i := range teams {
+		key, _, err := Give(context.Background(), ts, "red", fmt.Sprint("key", i), "ann")
+		if err != nil {
+			t.Fatal(err)
+		}
+		good = append(good, key)
+	}
+	for round := range 200 {
+		for i, key := range good {
+			if _, err := k.Authenticate(key, shared); err != nil {
+				t.Fatalf("round %d: key %d: %v", round, i, err)
+			}
+			_, _ = k.Authenticate("withdrawn", shared) // refused
+		}
+		c.Advance(10 * time.Millisecond)
+	}
+}
+
 // TestFreshLimit guards against a host that takes itself for fresh for longer
 // than the limit, or before it has ever been.
 func TestFreshLimit(t *testing.T) {
