Take the former pool of a route from another host during a shift

An origin that falls back to the former pool of a route sends to hosts whose table no longer has that pool on the route, and they refused it. Ruled out: lagging tables alone; the refusals went on for seconds. Change: a forwarded request may name any pool of the tables. Only authenticated hosts can name one, and the origin has checked route and team. Open: requests that always cross regions count as moved and start under the ramp.

--- a/internal/route/proxy/hedge_test.go
+++ b/internal/route/proxy/hedge_test.go
@@ -18,3 +18,19 @@
 		}
 	}
 }
+
+// Guards against a host that refuses what another one falls back to during a
+// shift: the former pool of a route, which its own table no longer names there.
+func TestHopTakesFormerPool(t *testing.T) {
+	p := &Proxy{}
+	p.setTable(&cove.Table{
+		Routes: []cove.Route{{Name: "diary", PathPrefix: "/", Pools: []cove.PoolWeight{{Pool: "new", Weight: 1}}}},
+		Pools:  []cove.Pool{{Name: "new"}, {Name: "old"}},
+	})
+	c := p.table.Load()
+	for pool, want := range map[cove.PoolName]bool{"new": true, "old": true, "none": false} {
+		if got := c.hasPool(pool); got != want {
+			t.Errorf("hasPool(%s) = %t, want %t", pool, got, want)
+		}
+	}
+}
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -16,7 +16,7 @@
 var (
 	errNotPeer  = cove.Refuse(http.StatusForbidden, cove.ReasonBadRequest, "not an entry host")
 	errPeerForm = cove.Refuse(http.StatusBadRequest, cove.ReasonPeer, "malformed request of a peer")
-	errPeerPool = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoute, "pool is not on the route in this host's table")
+	errPeerPool = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoute, "pool is not in this host's table")
 	errPeerLate = cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "deadline passed on the way")
 )
 
@@ -27,7 +27,7 @@
 		x.work.Forwarded = true
 		x.work.Moved = r.Header.Get(hopMoved) == "true"
 		pool := cove.PoolName(r.Header.Get(hopPool))
-		if !hasPool(x.route, pool) {
+		if !x.table.hasPool(pool) {
 			return nil, errPeerPool
 		}
 		x.pools = []cove.PoolWeight{{Pool: pool, Weight: 1}}
@@ -76,15 +76,6 @@
 	p.deliver(x, a)
 }
 
-func hasPool(r *cove.Route, name cove.PoolName) bool {
-	for _, p := range r.Pools {
-		if p.Pool == name {
-			return true
-		}
-	}
-	return false
-}
-
 // readHop restores an exchange from the headers of another entry host. Route
 // and team are names in this host's own table.
 func (p *Proxy) readHop(x *exchange) *cove.Refusal {
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -64,6 +64,7 @@
 	table  *cove.Table
 	routes *match.Table
 	byName map[cove.RouteName]*cove.Route
+	pools  map[cove.PoolName]bool
 	teams  map[cove.Team]*cove.TeamRow
 	places keyPlaces
 }
@@ -131,6 +132,7 @@
 		table:  t,
 		routes: match.Compile(t),
 		byName: make(map[cove.RouteName]*cove.Route, len(t.Routes)),
+		pools:  make(map[cove.PoolName]bool, len(t.Pools)),
 		teams:  make(map[cove.Team]*cove.TeamRow, len(t.Teams)),
 		places: compilePlaces(t.Routes),
 	}
@@ -140,9 +142,22 @@
 	for i := range t.Teams {
 		c.teams[t.Teams[i].Name] = &t.Teams[i]
 	}
+	for i := range t.Pools {
+		c.pools[t.Pools[i].Name] = true
+	}
+	for i := range t.Routes {
+		for _, w := range t.Routes[i].Pools {
+			c.pools[w.Pool] = true
+		}
+	}
 	p.table.Store(c)
 }
 
+// hasPool reports whether the tables have a pool. A forwarded request may name
+// one that its route no longer uses: during a shift the origin falls back to the
+// former pool, and for a moment it may have an older version of the tables.
+func (c *compiled) hasPool(name cove.PoolName) bool { return c.pools[name] }
+
 // sweepEvery is how often idle connections to backend servers are checked.
 const sweepEvery = 5 * time.Second
 
