--- a/internal/limit/share/refuse_test.go
+++ b/internal/limit/share/refuse_test.go
@@ -123,3 +123,37 @@
 	m.run(10*time.Minute, c.step)
 	c.check(t, "store outage", 0.005)
 }
+
+// Guards against B1 after the crash of the host that carried all of a team's
+// traffic. Listed in KNOWN-RED.txt.
+func TestRefusedAfterCrashOfBusyHost(t *testing.T) {
+	t.Parallel()
+	m, c := startCaller(t, 2, 300)
+	m.run(20*time.Second, c.step)
+	c.sent, c.refused = 0, 0
+	m.hosts[3].crash()
+	c.pick = func(int) *simHost { return m.hosts[4] }
+	m.run(30*time.Second, c.step)
+	c.check(t, "after the crash of the busy host", 0.01)
+}
+
+// Guards against B1's time in which shares follow demand: a host to which all
+// traffic of a team moves holds what it needs. Listed in KNOWN-RED.txt.
+func TestSharesFollowDemand(t *testing.T) {
+	t.Parallel()
+	const bound = 250 * time.Millisecond
+	m, c := startCaller(t, 2, 300)
+	m.run(20*time.Second, c.step)
+	h := m.hosts[6]
+	c.pick = func(int) *simHost { return h }
+	at := m.now
+	held := func() float64 {
+		return (*h.s.teams.Load())["team"].bucket.Quota().Rate.Tokens()
+	}
+	for held() < 0.9*300 && m.now.Sub(at) < 10*time.Second {
+		m.run(m.tick, c.step)
+	}
+	if took := m.now.Sub(at); took > bound {
+		t.Errorf("shares followed after %v, bound %v", took, bound)
+	}
+}
