Add shell completion made from the grammar

Cause: operators asked for completion; a hand-written script would differ from the commands after the next change. Change: turmericcove completion bash|zsh prints a script from the model of the command line.

--- a/internal/limit/share/service_test.go
+++ b/internal/limit/share/service_test.go
@@ -197,11 +197,11 @@
 	}
 	m.run(20*time.Second, nil)
 	m.memberLag = dropped
-	crashed, heir := m.hosts[0], m.hosts[1]
+	crashed, successor := m.hosts[0], m.hosts[1]
 	crashed.crash()
 	at := m.now
 	rateOf := func() float64 {
-		return (*heir.s.teams.Load())["team"].bucket.Quota().Rate.Tokens()
+		return (*successor.s.teams.Load())["team"].bucket.Quota().Rate.Tokens()
 	}
 	for rateOf() < 800 && m.now.Sub(at) < time.Minute {
 		m.run(m.tick, nil)
--- a/internal/ops/cli/cli.go
+++ b/internal/ops/cli/cli.go
@@ -46,6 +46,8 @@
 	Status  statusCmd  `cmd:"" help:"Show hosts, versions, shares and pools."`
 	Explain explainCmd `cmd:"" help:"Tell why a request goes where it goes."`
 	Events  eventsCmd  `cmd:"" help:"Show changes of state of all hosts, by time."`
+
+	Completion completionCmd `cmd:"" help:"Print a completion script for a shell."`
 }
 
 // env is what a command needs from its surroundings.
