Send more of a full failure domain's work next door

Requests waited for a second: the estimated room of 1.7 slots counted as one, each refusal lowered the trust in reports by a fifth, and a leaving host got no forwarded work although it held its slots. Ruled out: letting forwarded requests wait at the receiver for 10 ms. Change: half a slot of estimated room is enough; a refusal leaves 90% of the trust and a success regains 10%; leaving hosts of the own domain are used.

--- a/internal/limit/admit/room.go
+++ b/internal/limit/admit/room.go
@@ -88,12 +88,15 @@
 	return max(0, int(math.Round(p.meanFree)))
 }
 
-// liveHosts returns the live hosts by domain, and all of them as a set.
+// liveHosts returns the hosts that take forwarded work by domain, and all of
+// them as a set. A leaving host of the own domain is among them: it holds its
+// slots until it stops, while its callers go elsewhere.
 func (a *Admitter) liveHosts() (map[cove.Domain][]cove.HostID, map[cove.HostID]bool) {
 	hosts := make(map[cove.Domain][]cove.HostID)
 	live := make(map[cove.HostID]bool)
 	for _, m := range a.Members.Snapshot() {
-		if m.State == cove.HostLive && m.ID != a.Self.ID {
+		leaving := m.State == cove.HostLeaving && m.Domain == a.Self.Domain
+		if (m.State == cove.HostLive || leaving) && m.ID != a.Self.ID {
 			hosts[m.Domain] = append(hosts[m.Domain], m.ID)
 			live[m.ID] = true
 		}
--- a/internal/route/pick/domain.go
+++ b/internal/route/pick/domain.go
@@ -22,12 +22,16 @@
 	// hysteresis is the relative change of the room estimate below which the
 	// spread of client blocks over the domains stays as it is.
 	hysteresis = 0.25
+	// roomMin is the estimated room from which a domain is chosen. A whole slot
+	// would round the room of small pools down, and a host in a full domain
+	// would leave room next door unused.
+	roomMin = 0.5
 	// trustMin bounds how far refusals lower the trust in a domain's reports.
 	trustMin = 1.0 / 256
 	// trustDrop is the part of the trust that one refusal leaves.
-	trustDrop = 0.8
+	trustDrop = 0.9
 	// trustStep is how much of the way to full trust one success regains.
-	trustStep = 0.05
+	trustStep = 0.1
 	// sentSlots and sentWidth give the memory of own recent sends. It has to
 	// cover the largest usual lag of reports.
 	sentSlots = 16
@@ -78,7 +82,7 @@
 			continue
 		}
 		s := d.cached(i, c.Domain)
-		if d.room(s, c, now) < 1 {
+		if d.room(s, c, now) < roomMin {
 			continue
 		}
 		score := s.rank(work.Block)
