--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -84,6 +84,9 @@
 // planCalls returns the requests that are due. Quota that is given back leaves
 // the buckets here, before the request is sent.
 func (s *Service) planCalls(now time.Time) []*call {
+	if s.cfg.Static {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &calls{s: s, now: now}
--- a/internal/limit/share/service.go
+++ b/internal/limit/share/service.go
@@ -27,6 +27,9 @@
 	Peers    cove.Peers
 	Counters cove.Counters
 	Events   cove.Events
+	// Static turns off loans, for comparison with parts that never follow
+	// demand.
+	Static bool
 }
 
 // Service owns this host's parts of the teams' limits.
--- a/internal/ops/entry/state.go
+++ b/internal/ops/entry/state.go
@@ -18,7 +18,7 @@
 )
 
 // buildState makes the services that hold tables, keys and rate shares.
-func (d *Daemon) buildState(Options) error {
+func (d *Daemon) buildState(o Options) error {
 	d.feed = feed.New(feed.Config{
 		Self:     d.Self,
 		Clock:    d.clock,
@@ -47,6 +47,7 @@
 		Peers:    d.peer,
 		Counters: d.meter,
 		Events:   d.events,
+		Static:   o.StaticShares,
 	})
 	return nil
 }
