--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -228,7 +229,7 @@
 func (s *Settings) checkDistances(f *jsonc.File) {
 	seen := map[[2]cove.Region]bool{}
 	for i, d := range s.Distances {
-		at := "/distances/" + itoa(i)
+		at := "/distances/" + strconv.Itoa(i)
 		if d.A == "" || d.B == "" || d.A == d.B {
 			f.Faultf(at, "name two different regions", "%q and %q are no pair of regions", d.A, d.B)
 		}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -23,7 +23,6 @@
 	mu   sync.Mutex
 	buf  []cove.Event
 	next int
-	wake chan struct{}
 }
 
 var _ cove.Events = (*Log)(nil)
@@ -53,10 +52,6 @@
 		l.buf[l.next%size] = ev
 	}
 	l.next++
-	if l.wake != nil {
-		close(l.wake)
-		l.wake = nil
-	}
 }
 
 // Since returns the events from position pos on, oldest first, and the position
@@ -75,13 +70,3 @@
 	}
 	return out, l.next
 }
-
-// Changed returns a channel that is closed at the next event.
-func (l *Log) Changed() <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.wake == nil {
-		l.wake = make(chan struct{})
-	}
-	return l.wake
-}
--- a/request.go
+++ b/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -184,10 +183,3 @@
 	// until it ends or ctx does. It returns a *Refusal.
 	Begin(ctx context.Context, req KeyedRequest) (Claim, error)
 }
-
-// Forwarder carries a request to another entry host.
-type Forwarder interface {
-	// Forward sends r to the host's peer port. The returned response is
-	// streamed. A *Refusal is returned when the host refused.
-	Forward(ctx context.Context, to HostID, r *http.Request, body io.Reader) (*http.Response, error)
-}
