Run an entry host on the users' platform

Cause: the product runs only against its own stand-ins.

The request path learns a dialect (names of headers), callers' deadlines, affinity, homes and a bound on repeated sends for each pool. route/place decides where a request runs, route/steer keeps what is known of servers, limit/split divides rates with loans, fleet/pulse tells which hosts live.

--- a/internal/ops/cli/cli.go
+++ b/internal/ops/cli/cli.go
@@ -36,6 +36,7 @@
 	Output string `help:"Format of results: text or json." enum:"text,json" default:"text"`
 
 	Serve   serveCmd   `cmd:"" help:"Run an entry host."`
+	Entry   entryCmd   `cmd:"" help:"Run an entry host on the users' platform."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file or a table file."`
 	Demo    demoCmd    `cmd:"" help:"Run a whole deployment in one process and send requests of each kind."`
 	Cert    certCmd    `cmd:"" help:"Make certificates for the ports between hosts."`
--- a/internal/ops/cli/serve.go
+++ b/internal/ops/cli/serve.go
@@ -20,6 +20,7 @@
 	"turmericcove.org/cove/internal/fleet/peer"
 	"turmericcove.org/cove/internal/ops/demo"
 	"turmericcove.org/cove/internal/ops/entry"
+	"turmericcove.org/cove/platform"
 )
 
 const (
@@ -53,6 +54,13 @@
 	return &exitError{code: ExitUsage, err: err}
 }
 
+// entryCmd takes its settings from the platform.
+type entryCmd struct{}
+
+func (c *entryCmd) Run(e *env) error {
+	return platform.Serve(e.ctx, e.out)
+}
+
 type certCmd struct {
 	Init certInitCmd `cmd:"" help:"Make a certificate authority in a folder."`
 	Host certHostCmd `cmd:"" help:"Make a certificate for a host, signed by the authority."`
--- /dev/null
+++ b/internal/ops/site/site.go
@@ -0,0 +1,154 @@
+// Package site puts an entry host together that sends straight to backend
+// servers and keeps all that must last on the platform.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/event"
+	"turmericcove.org/cove/internal/core/kern"
+	"turmericcove.org/cove/internal/core/meter"
+	"turmericcove.org/cove/internal/fleet/pulse"
+	"turmericcove.org/cove/internal/limit/split"
+	"turmericcove.org/cove/internal/route/proxy"
+	"turmericcove.org/cove/internal/route/steer"
+	"turmericcove.org/cove/internal/state/keys"
+	"turmericcove.org/cove/internal/state/live"
+)
+
+// Options describe an entry host.
+type Options struct {
+	Self   pulse.Host
+	Logger logr.Logger
+	Proxy  proxy.Config
+	Steer  steer.Settings
+	Split  split.Bound
+}
+
+// Host is an entry host.
+type Host struct {
+	Clock    cove.Clock
+	Counters *meter.Meter
+	Events   *event.Log
+	Tables   *live.Tables
+	Pulse    *pulse.Service
+
+	kernel  kern.Kernel
+	proxy   *proxy.Proxy
+	split   *split.Split
+	leaving atomic.Bool
+}
+
+// linger is how long a leaving host serves as before, so that callers learn of
+// other hosts before their connections are refused.
+const linger = 1200 * time.Millisecond
+
+// New puts a host together. Nothing is started.
+func New(o Options) *Host {
+	h := &Host{Clock: clock.System{}, Counters: new(meter.Meter), Tables: new(live.Tables)}
+	h.Events = &event.Log{Host: o.Self.ID, Clock: h.Clock, Out: o.Logger}
+	h.Pulse = &pulse.Service{Self: o.Self, Clock: h.Clock, Counters: h.Counters, Events: h.Events}
+	h.Pulse.SetHosts([]pulse.Host{o.Self})
+	h.split = split.New(h.Clock, h.Tables, loans{h}, h.Counters, o.Split)
+	h.Pulse.Watch(h.split.Redivide)
+	h.Pulse.Handle(askTopic, h.lend)
+	h.Pulse.Handle(giveTopic, h.receive)
+	self := cove.Self{ID: o.Self.ID, Incarnation: cove.NewIncarnation(), Region: o.Self.Region, Domain: o.Self.Domain}
+	admit := steer.New(self, h.Clock, h.Tables, h.Pulse, h.Counters, h.Events, o.Steer)
+	h.proxy = proxy.New(proxy.Deps{
+		Self: self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, always{h.Clock}), Limiter: h.split,
+		Admitter: admit, Counters: h.Counters, Events: h.Events, Clock: h.Clock,
+	}, o.Proxy)
+	for _, s := range []cove.Service{h.Pulse, h.proxy} {
+		if err := h.kernel.Add(s); err != nil {
+			// Only two services of the same name can fail here.
+			panic(err)
+		}
+	}
+	h.Tables.Watch(func(*cove.Table) { h.Pulse.Open(true) })
+	return h
+}
+
+// always is fresh: the platform bounds withdrawals for hosts in touch with its
+// store, and a host that is cut off goes on.
+type always struct{ clock cove.Clock }
+
+// FreshAt implements keys.Freshness.
+func (a always) FreshAt() time.Time { return a.clock.Now() }
+
+// Start starts the services.
+func (h *Host) Start(ctx context.Context) error {
+	h.Events.Emit("host.started", "start")
+	return h.kernel.Start(ctx)
+}
+
+// Ready reports whether the host takes callers.
+func (h *Host) Ready() bool { return h.Tables.Current() != nil && !h.leaving.Load() }
+
+// Stop leaves look-ups, serves callers that have not heard of it, lets requests
+// end, and ends. When ctx ends, the rest is cut.
+func (h *Host) Stop(ctx context.Context) error {
+	h.leaving.Store(true)
+	h.Events.Emit("host.leaving", "stop requested")
+	h.Pulse.Leave()
+	h.proxy.Leave()
+	if err := h.Clock.Sleep(ctx, linger); err != nil {
+		h.Events.Emit("host.hardStop", err.Error())
+	}
+	err := h.kernel.Stop(ctx)
+	h.Events.Emit("host.stopped", "stop requested")
+	return err
+}
+
+// Topics of the messages about tokens.
+const (
+	askTopic  = "ask"
+	giveTopic = "give"
+)
+
+// loan is a request for tokens or a grant of them.
+type loan struct {
+	Team   cove.Team `json:"team"`
+	Tokens float64   `json:"tokens"`
+}
+
+// loans sends requests for tokens.
+type loans struct{ h *Host }
+
+// Hosts implements split.Peers.
+func (l loans) Hosts() int { return l.h.Pulse.Hosts() }
+
+// Lenders implements split.Peers.
+func (l loans) Lenders() []cove.HostID { return l.h.Pulse.Lenders() }
+
+// Ask implements split.Peers.
+func (l loans) Ask(to cove.HostID, team cove.Team, tokens float64) {
+	l.h.Pulse.Send(to, askTopic, loan{team, tokens})
+}
+
+func (h *Host) lend(from cove.HostID, body json.RawMessage) {
+	var m loan
+	if err := json.Unmarshal(body, &m); err != nil {
+		h.Counters.Add("split.unreadable", 1)
+		return
+	}
+	if given := h.split.Lend(m.Team, m.Tokens); given > 0 {
+		h.Pulse.Send(from, giveTopic, loan{m.Team, given})
+	}
+}
+
+func (h *Host) receive(_ cove.HostID, body json.RawMessage) {
+	var m loan
+	if err := json.Unmarshal(body, &m); err != nil {
+		h.Counters.Add("split.unreadable", 1)
+		return
+	}
+	h.split.Receive(m.Team, m.Tokens)
+}
--- a/internal/route/health/tracker.go
+++ b/internal/route/health/tracker.go
@@ -107,16 +107,13 @@
 // mayEject reports whether one more server of the pool may be ejected.
 func (t *Tracker) mayEject(pool cove.PoolName, asking *polled, now time.Time) bool {
 	servers := t.listed(pool)
-	out := 1
+	out := 0
 	for _, p := range servers {
-		if p != asking && p.ejectedUntil.Load() > now.UnixNano() {
+		if p != asking && p.Ejected(now) {
 			out++
 		}
 	}
-	if len(servers) <= 1 {
-		return false
-	}
-	return out == 1 || float64(out) <= ejectShare*float64(len(servers))
+	return MayEject(out, len(servers))
 }
 
 // listed returns the servers of a pool that the table names.
--- /dev/null
+++ b/internal/route/place/load.go
@@ -0,0 +1,50 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// othersFade is the time in which the believed load of other hosts falls to
+// 1/e when no report comes. A report describes a moment; requests last for
+// some tenths of a second.
+const othersFade = 700 * time.Millisecond
+
+// Load estimates the number of requests at a backend server from the last
+// report and this host's own requests. The zero value expects no load.
+type Load struct {
+	own    int
+	others float64
+	at     time.Time
+}
+
+// Begin counts a request of this host.
+func (l *Load) Begin() { l.own++ }
+
+// End counts its end.
+func (l *Load) End() { l.own-- }
+
+// Own returns the number of this host's requests.
+func (l *Load) Own() int { return l.own }
+
+// Report takes over a report of the server. It must be called after End for the
+// request that brought it, because a server does not count that one any more.
+func (l *Load) Report(now time.Time, running, waiting int) {
+	l.others = max(0, float64(running+waiting-l.own))
+	l.at = now
+}
+
+// Full takes over that the server has refused a request for want of room.
+func (l *Load) Full(now time.Time, room int) {
+	l.others = max(l.others, float64(room-l.own))
+	l.at = now
+}
+
+// Expect returns the expected number of requests.
+func (l *Load) Expect(now time.Time) float64 {
+	if l.at.IsZero() {
+		return float64(l.own)
+	}
+	fade := math.Exp(-float64(now.Sub(l.at)) / float64(othersFade))
+	return float64(l.own) + l.others*fade
+}
--- /dev/null
+++ b/internal/route/place/order.go
@@ -0,0 +1,61 @@
+// Package place decides at which backend server a request runs: a stable order
+// of the servers for each object, the load that is to be expected at each, and
+// the choice between waiting at the first and running at a later one. It holds
+// no state and does no input or output.
+package place
+
+import "math"
+
+// Order keeps the best servers for an object. The zero value is empty.
+type Order struct {
+	n     int
+	index [MaxChoices]int
+	score [MaxChoices]float64
+}
+
+// MaxChoices is the number of servers of the order that are considered. A
+// request that finds none of them free has lost the gain of its warm server,
+// and any other server serves it as well.
+const MaxChoices = 4
+
+// Add offers a server with its position in the caller's list.
+func (o *Order) Add(index int, score float64) {
+	i := o.n
+	if i == MaxChoices {
+		if score <= o.score[MaxChoices-1] {
+			return
+		}
+		i--
+	} else {
+		o.n++
+	}
+	for ; i > 0 && o.score[i-1] < score; i-- {
+		o.index[i], o.score[i] = o.index[i-1], o.score[i-1]
+	}
+	o.index[i], o.score[i] = index, score
+}
+
+// Indexes returns the positions of the servers, best first.
+func (o *Order) Indexes() []int { return o.index[:o.n] }
+
+// Score returns the rendezvous score of a server for an object. All hosts
+// compute the same one, so they agree on a server without messages; a change
+// of the set moves only the objects of the servers that came or went. A server
+// with twice the weight is first for twice as many objects.
+func Score(object, server uint64, weight float64) float64 {
+	if weight <= 0 {
+		return math.Inf(-1)
+	}
+	// 53 bits give every float64 in (0, 1) the same chance.
+	u := (float64(mix(object^server)>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
+
+// mix is the finalizer of SplitMix64, which spreads each input bit over all
+// output bits.
+func mix(v uint64) uint64 {
+	v += 0x9e3779b97f4a7c15
+	v = (v ^ v>>30) * 0xbf58476d1ce4e5b9
+	v = (v ^ v>>27) * 0x94d049bb133111eb
+	return v ^ v>>31
+}
--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -37,6 +37,8 @@
 	switch resp.StatusCode {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		a.retryable = t.x.idempotent()
+	case http.StatusInternalServerError:
+		a.retryable = t.x.idempotent() && t.p.cfg.Dialect.RetryInternal
 	}
 	return a
 }
@@ -109,6 +111,8 @@
 		Latency:  a.latency,
 		Err:      err,
 		Draining: a.resp.Header[headerDraining] != nil,
+		Load:     a.t.p.cfg.Dialect.load(a.resp.Header),
+		Connect:  a.t.connected,
 		Bytes:    a.bytes + a.t.x.body.sent(),
 	}
 }
@@ -117,6 +121,7 @@
 func (a *answer) shed() *failure {
 	res := a.result(nil)
 	res.Shed = true
+	res.Misdirected = a.resp.StatusCode == http.StatusMisdirectedRequest
 	a.t.upstream.finish(a.whole)
 	a.t.done(res)
 	a.release()
@@ -134,7 +139,7 @@
 // deliver passes an answer to the caller.
 func (p *Proxy) deliver(x *exchange, a *answer) {
 	h := x.w.Header()
-	copyAnswer(h, a.resp.Header)
+	copyAnswer(h, a.resp.Header, p.cfg.Dialect.NotRun)
 	status := a.resp.StatusCode
 	if x.peer {
 		status = wrapAnswer(h, a)
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -55,6 +55,8 @@
 	begun    time.Time
 	// superseded is set when another attempt has won.
 	superseded atomic.Bool
+	// connected is how long it took to open the connection, 0 when it was open.
+	connected time.Duration
 }
 
 // run makes attempts until one gives an answer.
@@ -93,7 +95,7 @@
 	} else if !x.idempotent() || x.tries >= x.maxAttempts() {
 		return false
 	}
-	if !f.free && !p.budget.Spend() {
+	if !f.free && !p.budget.For(x.pool()).Spend() {
 		return false
 	}
 	p.Counters.Add(retryCounter(f.retry), 1)
@@ -126,6 +128,10 @@
 		return nil, &failure{refusal: admitRefusal(err)}
 	}
 	t := &attempt{p: p, x: x, ctx: ctx, permit: permit, target: permit.Target(), begun: p.Clock.Now()}
+	x.bind(t.target.Pool)
+	if x.tries == 1 {
+		p.budget.For(x.pool()).Earn()
+	}
 	if f := t.start(fresh); f != nil {
 		return nil, f
 	}
@@ -158,6 +164,11 @@
 	return nil
 }
 
+// expect returns the header that names the backend server of the attempt.
+func (t *attempt) expect() field {
+	return field{name: t.p.cfg.Dialect.Expect, value: string(t.target.Server)}
+}
+
 func (t *attempt) connect(fresh bool) error {
 	if t.target.Host != "" {
 		var err error
@@ -174,6 +185,9 @@
 	if err != nil {
 		return err
 	}
+	if c.answered.IsZero() {
+		t.connected = t.p.Clock.Now().Sub(t.begun)
+	}
 	t.upstream = newDirectUpstream(t, c)
 	return nil
 }
@@ -233,11 +247,14 @@
 	if echo := resp.Header[headerRequestID]; len(echo) > 0 && echo[0] != t.x.id {
 		return nil, t.crossed()
 	}
+	if name := t.p.cfg.Dialect.Seal; name != "" && success(resp.StatusCode) && resp.Header[name] == nil {
+		return nil, t.crossed()
+	}
 	a := newAnswer(t, resp)
 	if err := a.readShort(); err != nil {
 		return nil, t.broken(err)
 	}
-	if resp.Header[headerNotRun] != nil && resp.StatusCode == http.StatusServiceUnavailable {
+	if resp.Header[t.p.cfg.Dialect.NotRun] != nil && !success(resp.StatusCode) || t.misdirected(resp) {
 		return nil, a.shed()
 	}
 	if !a.retryable {
@@ -246,6 +263,14 @@
 	return a, nil
 }
 
+func success(status int) bool { return status >= 200 && status < 300 }
+
+// misdirected reports whether another backend server has the address now and
+// has not run the request.
+func (t *attempt) misdirected(resp *http.Response) bool {
+	return t.p.cfg.Dialect.Expect != "" && resp.StatusCode == http.StatusMisdirectedRequest
+}
+
 // headFailed classifies an attempt that ended without a header.
 func (t *attempt) headFailed(err error) *failure {
 	var hr *hopRefusal
--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -128,14 +128,14 @@
 // keep returns the form of an answer that repeats get.
 func keep(a *answer) *cove.Answer {
 	h := make(http.Header, len(a.resp.Header))
-	copyAnswer(h, a.resp.Header)
+	copyAnswer(h, a.resp.Header, a.t.p.cfg.Dialect.NotRun)
 	return &cove.Answer{Status: a.resp.StatusCode, Header: h, Body: a.data, Trailer: a.resp.Trailer}
 }
 
 // replayed returns a stored answer as the answer of an attempt.
 func replayed(p *Proxy, x *exchange, kept *cove.Answer) *answer {
 	h := make(http.Header, len(kept.Header)+1)
-	copyAnswer(h, kept.Header)
+	copyAnswer(h, kept.Header, p.cfg.Dialect.NotRun)
 	h[headerReplayed] = []string{"true"}
 	resp := &http.Response{StatusCode: kept.Status, Header: h, Body: http.NoBody, Trailer: kept.Trailer}
 	t := &attempt{p: p, x: x, ctx: x.ctx, permit: noPermit{}, upstream: noUpstream{}}
@@ -200,7 +200,7 @@
 
 // serveTicket mints an idempotency key for the team of the request.
 func (p *Proxy) serveTicket(w http.ResponseWriter, r *http.Request) {
-	callerID, _ := requestIDs(r.Header)
+	callerID, _ := p.requestIDs(r.Header)
 	team, err := p.ticketTeam(r)
 	if err != nil {
 		p.writeRefusal(w, callerID, asRefusal(err))
@@ -223,7 +223,7 @@
 }
 
 func (p *Proxy) ticketTeam(r *http.Request) (cove.Team, error) {
-	key, ref := findKey(cove.KeyPlace{}, r)
+	key, ref := findKey(cove.KeyPlace{}, p.cfg.Dialect.AuthScheme, r)
 	if ref != nil {
 		return "", ref
 	}
--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"net/netip"
 	"time"
+
+	"turmericcove.org/cove/internal/route/retry"
 )
 
 // Config holds the bounds of the caller side. Zero fields take the defaults.
@@ -39,6 +41,16 @@
 	// MaxQuietWait bounds the wait for the quiet time, for callers that go on
 	// sending to a host that has left.
 	MaxQuietWait time.Duration
+	// Dialect adapts names of fields to the deployment.
+	Dialect Dialect
+	// FineRetry gives Retry-After with fractions of a second.
+	FineRetry bool
+	// NoRace forbids a second attempt beside one that stays silent.
+	NoRace bool
+	// Budget bounds the repeated sends to each pool.
+	Budget retry.Terms
+	// DialTimeout bounds the time to open a connection to a backend server.
+	DialTimeout time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -53,6 +65,8 @@
 	setDefault(&c.Deadline, 10*time.Second)
 	setDefault(&c.QuietTime, 500*time.Millisecond)
 	setDefault(&c.MaxQuietWait, 5*time.Second)
+	setDefault(&c.DialTimeout, dialTimeout)
+	c.Dialect = c.Dialect.withDefaults()
 	return c
 }
 
--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -46,6 +46,9 @@
 	addr netip.AddrPort
 	// answered is when the last exchange ended well.
 	answered time.Time
+	// maxIdle is how long the connection may stay idle, as far as the backend
+	// server has said.
+	maxIdle time.Duration
 	// headLeft is how many bytes the header of the answer may still have.
 	headLeft int64
 	// wrote is set when a byte of the current request was handed to the kernel.
@@ -60,12 +63,18 @@
 	peeked    error
 }
 
-var dialer = net.Dialer{
-	Timeout: dialTimeout,
-	KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
-	},
-	Control: setUserTimeout,
+// newDialer returns a dialer that finds silent connections soon.
+func newDialer(timeout time.Duration) *net.Dialer {
+	if timeout == 0 {
+		timeout = dialTimeout
+	}
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
+		},
+		Control: setUserTimeout,
+	}
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -79,12 +88,12 @@
 	return serr
 }
 
-func dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
-	nc, err := dialer.DialContext(ctx, "tcp", addr.String())
+func dial(ctx context.Context, timeout time.Duration, addr netip.AddrPort) (*conn, error) {
+	nc, err := newDialer(timeout).DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
-	c := &conn{nc: nc, addr: addr}
+	c := &conn{nc: nc, addr: addr, maxIdle: idleTime}
 	c.closeFunc = c.close
 	c.peekFunc = c.peek
 	c.br = bufio.NewReaderSize((*connReader)(c), connBuffer)
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,7 +58,7 @@
 	if err := l.c.begin(x.ctx.deadline); err != nil {
 		return err
 	}
-	if err := writeHead(l.c.bw, x, x.remaining(l.t.p.Clock.Now())); err != nil {
+	if err := writeHead(l.c.bw, x, l.t.expect(), x.remaining(l.t.p.Clock.Now())); err != nil {
 		return err
 	}
 	r := x.body.reader()
@@ -116,13 +119,54 @@
 		}
 	}
 	resp, err := l.c.readHead(l.t.x.method, l.allowBody)
+	for range maxSkipped {
+		if err != nil || !l.stale(resp) {
+			break
+		}
+		l.t.p.Counters.Add(counterSkipped, 1)
+		if _, err = io.Copy(io.Discard, resp.Body); err == nil {
+			resp, err = l.c.readHead(l.t.x.method, l.allowBody)
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
 	l.resp = resp
+	l.c.maxIdle = keepAliveTime(resp.Header, l.c.maxIdle)
 	return resp, nil
 }
 
+// maxSkipped bounds the answers to earlier requests that are read over on one
+// connection.
+const maxSkipped = 2
+
+// stale reports whether an answer belongs to an earlier request of the
+// connection and the one that is due may still follow.
+func (l *directUpstream) stale(resp *http.Response) bool {
+	echo := resp.Header[headerRequestID]
+	return l.t.p.cfg.Dialect.Skip && len(echo) > 0 && echo[0] != l.t.x.id && !resp.Close && resp.ContentLength >= 0
+}
+
+// keepAliveMargin is the part of the announced idle time that is used, so that
+// a request does not cross the close.
+const keepAliveMargin = 0.8
+
+// keepAliveTime returns the idle time that a Keep-Alive header announces.
+func keepAliveTime(h http.Header, old time.Duration) time.Duration {
+	for _, v := range h["Keep-Alive"] {
+		for part := range strings.SplitSeq(v, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if n, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && n >= 0 && n < int(idleTime/time.Second) {
+				return time.Duration(float64(n) * keepAliveMargin * float64(time.Second))
+			}
+		}
+	}
+	return old
+}
+
 func (l *directUpstream) allowBody() {
 	if l.proceed != nil {
 		l.proceedOnce.Do(func() { close(l.proceed) })
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -58,6 +58,23 @@
 	peer bool
 }
 
+// pool returns the pool to which the exchange is bound, or the first possible
+// one.
+func (x *exchange) pool() cove.PoolName {
+	if len(x.pools) == 0 {
+		return ""
+	}
+	return x.pools[0].Pool
+}
+
+// bind keeps later attempts on the pool of the first one. A request counts for
+// the part of a split to which it was given.
+func (x *exchange) bind(pool cove.PoolName) {
+	if len(x.pools) > 1 && pool != "" {
+		x.pools = []cove.PoolWeight{{Pool: pool, Weight: 1}}
+	}
+}
+
 // end releases what the exchange holds.
 func (p *Proxy) end(x *exchange) {
 	p.keyed.free(x.held)
--- a/internal/route/proxy/header.go
+++ b/internal/route/proxy/header.go
@@ -70,10 +70,10 @@
 }
 
 // forwardable appends the caller's headers that may be passed on to dst.
-func forwardable(dst []field, h http.Header) []field {
+func (p *Proxy) forwardable(dst []field, h http.Header) []field {
 	connection := h["Connection"]
 	for name, values := range h {
-		if hopByHop(name) || ownedByProxy(name) {
+		if hopByHop(name) || ownedByProxy(name) || p.cfg.Dialect.owns(name) {
 			continue
 		}
 		if len(connection) > 0 && listed(connection, name) {
@@ -85,13 +85,13 @@
 }
 
 // copyAnswer copies the headers of an answer that callers may see.
-func copyAnswer(dst, src http.Header) {
+func copyAnswer(dst, src http.Header, notRun string) {
 	connection := src["Connection"]
 	for name, values := range src {
 		if hopByHop(name) || strings.HasPrefix(name, peerPrefix) {
 			continue
 		}
-		if name == headerRequestID || name == headerNotRun || name == headerDraining {
+		if name == headerRequestID || name == notRun || name == headerDraining {
 			continue
 		}
 		if len(connection) > 0 && listed(connection, name) {
@@ -114,10 +114,13 @@
 // requestIDs returns the id that the caller gets back and the one that backend
 // servers see. The latter has a random part, so that the answer to another
 // request is recognised even when a caller reuses its ids.
-func requestIDs(h http.Header) (caller, upstream string) {
+func (p *Proxy) requestIDs(h http.Header) (caller, upstream string) {
 	unique := randomHex()
 	v := h[headerRequestID]
 	if len(v) == 1 && validToken(v[0], maxRequestID) {
+		if p.cfg.Dialect.CallerID {
+			return v[0], v[0]
+		}
 		return v[0], v[0] + "." + unique
 	}
 	return unique, unique
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -18,7 +18,7 @@
 // hedgeDelay returns how long an attempt may stay without a byte before a second
 // one is made beside it; 0 means that none is allowed.
 func (p *Proxy) hedgeDelay(x *exchange) (time.Duration, cove.RetryReason) {
-	if !x.idempotent() || x.tries >= x.maxAttempts() || x.body.stream != nil {
+	if p.cfg.NoRace || !x.idempotent() || x.tries >= x.maxAttempts() || x.body.stream != nil {
 		return 0, ""
 	}
 	if p95, known := x.state.latency.P95(); known && x.route.Retry.Hedge {
@@ -46,7 +46,7 @@
 
 // race makes a second attempt at another target and takes the first answer.
 func (p *Proxy) race(x *exchange, first *attempt, reason cove.RetryReason) (*answer, *failure) {
-	if !p.budget.Spend() {
+	if !p.budget.For(x.pool()).Spend() {
 		return first.classify(first.upstream.head(0))
 	}
 	x.avoid(first.target)
@@ -89,7 +89,7 @@
 func (p *Proxy) second(ctx context.Context, x *exchange, reason cove.RetryReason) (*answer, *failure) {
 	t, f := p.open(ctx, x, true)
 	if f != nil {
-		p.budget.Refund()
+		p.budget.For(x.pool()).Refund()
 		return nil, f
 	}
 	p.Counters.Add(retryCounter(reason), 1)
--- a/internal/route/proxy/key.go
+++ b/internal/route/proxy/key.go
@@ -10,7 +10,6 @@
 
 const (
 	authorization = "Authorization"
-	bearer        = "bearer "
 	// minKeyMatch is the least length of a key that is searched for in other
 	// places; a shorter one would match by chance.
 	minKeyMatch = 8
@@ -47,7 +46,7 @@
 }
 
 // findKey returns the key of a request, or "" when it has none.
-func findKey(place cove.KeyPlace, r *http.Request) (string, *cove.Refusal) {
+func findKey(place cove.KeyPlace, scheme string, r *http.Request) (string, *cove.Refusal) {
 	name := authorization
 	if place.Header != "" {
 		name = http.CanonicalHeaderKey(place.Header)
@@ -57,7 +56,7 @@
 		return "", errTwoKeys
 	}
 	if len(values) == 1 {
-		return bareKey(name, values[0]), nil
+		return bareKey(name, scheme, values[0]), nil
 	}
 	if place.Query == "" || r.URL.RawQuery == "" {
 		return "", nil
@@ -66,14 +65,15 @@
 }
 
 // bareKey removes the scheme of an Authorization header.
-func bareKey(name, value string) string {
+func bareKey(name, scheme, value string) string {
 	if name != authorization {
 		return strings.TrimSpace(value)
 	}
-	if len(value) < len(bearer) || !strings.EqualFold(value[:len(bearer)], bearer) {
+	given, key, _ := strings.Cut(value, " ")
+	if !strings.EqualFold(given, scheme) {
 		return ""
 	}
-	return strings.TrimSpace(value[len(bearer):])
+	return strings.TrimSpace(key)
 }
 
 func queryKey(name, rawQuery string) (string, *cove.Refusal) {
--- a/internal/route/proxy/pool.go
+++ b/internal/route/proxy/pool.go
@@ -19,10 +19,12 @@
 
 // pool keeps idle connections to backend servers, the latest used on top.
 type pool struct {
-	now    func() time.Time
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*conn
-	closed bool
+	now func() time.Time
+	// dialTimeout is for new connections; 0 takes the default.
+	dialTimeout time.Duration
+	mu          sync.Mutex
+	idle        map[netip.AddrPort][]*conn
+	closed      bool
 }
 
 // get returns a connection that answered within maxAge, or a fresh one. A
@@ -38,7 +40,7 @@
 		}
 		c.close()
 	}
-	return dial(ctx, addr)
+	return dial(ctx, p.dialTimeout, addr)
 }
 
 func (p *pool) take(addr netip.AddrPort, maxAge time.Duration) *conn {
@@ -50,7 +52,7 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if now.Sub(c.answered) > maxAge {
+	if now.Sub(c.answered) > min(maxAge, c.maxIdle) {
 		return nil
 	}
 	list[len(list)-1] = nil
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -43,7 +43,7 @@
 	table  atomic.Pointer[compiled]
 	own    *http.ServeMux
 	pool   pool
-	budget retry.Budget
+	budget retry.Budgets
 	// keyed is the memory held by keyed requests.
 	keyed  quota
 	routes routeStates
@@ -74,6 +74,8 @@
 func New(d Deps, cfg Config) *Proxy {
 	p := &Proxy{Deps: d, cfg: cfg.withDefaults(), own: http.NewServeMux(), tasks: group.New(context.Background())}
 	p.pool.now = d.Clock.Now
+	p.pool.dialTimeout = p.cfg.DialTimeout
+	p.budget.Terms = p.cfg.Budget
 	p.own.HandleFunc("POST "+ownPrefix+"ticket", p.serveTicket)
 	p.own.HandleFunc(ownPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoOwn) })
 	if d.Peers != nil {
--- a/internal/route/proxy/refuse.go
+++ b/internal/route/proxy/refuse.go
@@ -58,10 +58,10 @@
 
 func (p *Proxy) writeRefusal(w http.ResponseWriter, id string, r *cove.Refusal) {
 	p.Counters.Add(refusalCounter(r.Reason), 1)
-	writeProblem(w, id, r)
+	p.writeProblem(w, id, r)
 }
 
-func writeProblem(w http.ResponseWriter, id string, r *cove.Refusal) {
+func (p *Proxy) writeProblem(w http.ResponseWriter, id string, r *cove.Refusal) {
 	h := w.Header()
 	h.Set("Content-Type", problemType)
 	h.Set("Cache-Control", "no-store")
@@ -70,10 +70,10 @@
 		h.Set(headerRequestID, id)
 	}
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatInt(wholeSeconds(r.RetryAfter), 10))
+		h.Set("Retry-After", retryAfter(r.RetryAfter, p.cfg.FineRetry))
 	}
 	if r.Status == http.StatusUnauthorized {
-		h.Set("Www-Authenticate", "Bearer")
+		h.Set("Www-Authenticate", p.cfg.Dialect.AuthScheme)
 	}
 	body := problem{
 		Type:      "urn:turmericcove:refusal:" + string(r.Reason),
@@ -94,6 +94,15 @@
 	_, _ = w.Write(data)
 }
 
+// retryAfter formats a time in seconds. HTTP knows whole seconds only; callers
+// of some deployments also read fractions.
+func retryAfter(d time.Duration, fine bool) string {
+	if fine {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.FormatInt(wholeSeconds(d), 10)
+}
+
 func wholeSeconds(d time.Duration) int64 {
 	return int64((d + time.Second - 1) / time.Second)
 }
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"turmericcove.org/cove"
 )
 
@@ -14,6 +17,7 @@
 	counterRequests = "proxy.requests"
 	counterBroken   = "proxy.brokenAnswers"
 	counterReplayed = "proxy.replayed"
+	counterSkipped  = "proxy.skippedAnswers"
 )
 
 // ownPrefix starts the paths that the entry host answers itself.
@@ -78,10 +82,9 @@
 }
 
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
-	p.budget.Earn()
 	p.Counters.Add(counterRequests, 1)
 	x := &exchange{w: w, r: r, started: p.Clock.Now()}
-	x.callerID, x.id = requestIDs(r.Header)
+	x.callerID, x.id = p.requestIDs(r.Header)
 	defer p.end(x)
 	a, err := p.handle(x)
 	if err != nil {
@@ -99,7 +102,7 @@
 	x.closeIfUnread()
 	if x.r.Context().Err() != nil {
 		p.Counters.Add(counterCanceled, 1)
-		writeProblem(x.w, x.callerID, ref)
+		p.writeProblem(x.w, x.callerID, ref)
 		return
 	}
 	p.writeRefusal(x.w, x.callerID, ref)
@@ -118,7 +121,7 @@
 	if err := p.limit(x); err != nil {
 		return nil, err
 	}
-	if !x.idempotent() && x.r.Header[headerKey] != nil {
+	if !x.idempotent() && x.r.Header[headerKey] != nil && p.Ledger != nil {
 		return p.runKeyed(x)
 	}
 	if err := p.takeBody(x); err != nil {
@@ -144,7 +147,7 @@
 		return m.Refusal
 	}
 	x.setRoute(m.Route, p.routes.get(m.Route.Name))
-	x.deadline = x.started.Add(p.deadlineOf(m.Route))
+	x.deadline = x.started.Add(callerDeadline(x.r.Header, p.deadlineOf(m.Route)))
 	return nil
 }
 
@@ -155,6 +158,24 @@
 	st.active.Add(1)
 }
 
+// callerDeadline returns the shorter of the route's limit and the time that the
+// caller waits.
+func callerDeadline(h http.Header, limit time.Duration) time.Duration {
+	v := h[headerDeadline]
+	if len(v) != 1 {
+		return limit
+	}
+	ms, err := strconv.ParseInt(v[0], 10, 64)
+	if err != nil || ms < 0 {
+		return limit
+	}
+	return min(limit, time.Duration(min(ms, maxDeadlineMillis))*time.Millisecond)
+}
+
+// maxDeadlineMillis keeps the conversion of a caller's deadline from
+// overflowing.
+const maxDeadlineMillis = 24 * 60 * 60 * 1000
+
 func (p *Proxy) deadlineOf(r *cove.Route) time.Duration {
 	if r.Deadline > 0 {
 		return time.Duration(r.Deadline)
@@ -164,7 +185,7 @@
 
 // authenticate finds the team of the request, except on open routes.
 func (p *Proxy) authenticate(x *exchange, from *caller) error {
-	key, ref := findKey(x.route.Key, x.r)
+	key, ref := findKey(x.route.Key, p.cfg.Dialect.AuthScheme, x.r)
 	if ref != nil {
 		return ref
 	}
@@ -183,7 +204,7 @@
 		return notRun(err)
 	}
 	x.keyed = true
-	if !onRoute(x.route, x.principal.Team) {
+	if !x.route.AnyTeam && !onRoute(x.route, x.principal.Team) {
 		return errTeam
 	}
 	return p.clean(x, from)
@@ -213,9 +234,14 @@
 	}
 	x.method, x.uri, x.host = x.r.Method, uri, x.r.Host
 	x.fields = make([]field, 0, len(x.r.Header)+ownFields)
-	x.fields = x.filter.fields(forwardable(x.fields, x.r.Header))
-	x.fields = forwardedFields(x.fields, from, x.host)
-	x.fields = traceFields(x.fields, x.r.Header)
+	x.fields = x.filter.fields(p.forwardable(x.fields, x.r.Header))
+	if name := p.cfg.Dialect.Team; name != "" && x.keyed {
+		x.fields = append(x.fields, field{name: name, value: string(x.principal.Team)})
+	}
+	if !p.cfg.Dialect.Plain {
+		x.fields = forwardedFields(x.fields, from, x.host)
+		x.fields = traceFields(x.fields, x.r.Header)
+	}
 	return nil
 }
 
@@ -237,6 +263,7 @@
 // workClass describes the request of a team to admission.
 func (p *Proxy) workClass(x *exchange, team cove.Team) cove.WorkClass {
 	work := cove.WorkClass{
+		ID:       x.callerID,
 		Team:     team,
 		Weight:   1,
 		Route:    x.route.Name,
@@ -244,10 +271,24 @@
 		Cost:     float64(max(x.route.Cost, 1)),
 		Deadline: x.deadline,
 		Origin:   p.Self.Region,
+		Started:  x.started,
+		Goal:     time.Duration(x.route.Goal),
+		Homes:    x.route.Homes,
+	}
+	if x.route.Sticky {
+		if object := p.cfg.Dialect.affinity(x.r); object != "" {
+			work.Object = max(xxhash.Sum64String(object), 1)
+		}
 	}
 	if t := x.table.teams[team]; t != nil && t.Weight > 0 {
 		work.Weight = t.Weight
 	}
+	if t := x.table.teams[team]; t != nil {
+		if t.Priority != nil {
+			work.Priority = *t.Priority
+		}
+		work.TeamHomes = t.Homes
+	}
 	return work
 }
 
--- a/internal/route/proxy/shape_test.go
+++ b/internal/route/proxy/shape_test.go
@@ -210,12 +210,12 @@
 	f.Fuzz(func(t *testing.T, key, trace, hostName, query, id string) {
 		h := http.Header{"Traceparent": {trace}, "Cookie": {query}, "Forwarded": {hostName}, headerRequestID: {id}}
 		s := keyFilter{places: compilePlaces(testRoutes()), key: testKey}
-		fields := s.fields(forwardable(nil, h))
+		fields := s.fields(new(Proxy).forwardable(nil, h))
 		fields = traceFields(fields, h)
 		if validHost(hostName) {
 			fields = forwardedFields(fields, newCaller("[::1]:7", true), hostName)
 		}
-		_, upstream := requestIDs(h)
+		_, upstream := new(Proxy).requestIDs(h)
 		fields = append(fields, field{name: "Id", value: upstream})
 		for _, fd := range fields {
 			for _, v := range fd.list() {
@@ -230,7 +230,7 @@
 		if k, ok := parseKey([]string{key}); ok && !oneLine(k) {
 			t.Fatalf("idempotency key %q", k)
 		}
-		_, _ = findKey(cove.KeyPlace{Header: "X-Key"}, &http.Request{Header: http.Header{"X-Key": {key}}})
+		_, _ = findKey(cove.KeyPlace{Header: "X-Key"}, "Bearer", &http.Request{Header: http.Header{"X-Key": {key}}})
 	})
 }
 
@@ -258,7 +258,7 @@
 		}
 		var out bytes.Buffer
 		bw := bufio.NewWriter(&out)
-		if err := writeHead(bw, x, time.Second); err != nil || bw.Flush() != nil {
+		if err := writeHead(bw, x, field{}, time.Second); err != nil || bw.Flush() != nil {
 			return
 		}
 		in := bufio.NewReader(&out)
--- a/internal/route/proxy/wire.go
+++ b/internal/route/proxy/wire.go
@@ -15,7 +15,7 @@
 
 // writeHead writes the request line and header of an attempt. The framing
 // headers are made here and come from nowhere else.
-func writeHead(bw *bufio.Writer, x *exchange, left time.Duration) error {
+func writeHead(bw *bufio.Writer, x *exchange, own field, left time.Duration) error {
 	line(bw, x.method, " ", x.uri, " HTTP/1.1\r\nHost: ", x.host, "\r\n")
 	for i := range x.fields {
 		f := &x.fields[i]
@@ -30,6 +30,12 @@
 			line(bw, f.name, ": ", v, "\r\n")
 		}
 	}
+	if own.name != "" {
+		if !oneLine(own.value) {
+			return errHead
+		}
+		line(bw, own.name, ": ", own.value, "\r\n")
+	}
 	line(bw, headerRequestID+": ", x.id, "\r\n")
 	number(bw, headerDeadline+": ", max(left.Milliseconds(), 1))
 	framing(bw, x)
--- a/internal/route/retry/budget.go
+++ b/internal/route/retry/budget.go
@@ -2,33 +2,60 @@
 // make them.
 package retry
 
-import "sync/atomic"
+import (
+	"sync"
+	"sync/atomic"
+
+	"turmericcove.org/cove"
+)
 
 const (
-	// unit is the price of one extra attempt; each request earns one tenth.
-	unit = 10
-	// maxTokens bounds the extra attempts that a burst of failures may cause
+	// unit is the price of one extra attempt.
+	unit = 1000
+	// defaultRatio is the part of the requests that may be repeated.
+	defaultRatio = 0.1
+	// defaultMax bounds the extra attempts that a burst of failures may cause
 	// after a quiet time.
-	maxTokens = 20 * unit
-	// initialTokens lets a host retry before it has served many requests.
-	initialTokens = 5 * unit
+	defaultMax = 20
+	// defaultInitial lets a host retry before it has served many requests.
+	defaultInitial = 5
 )
 
-// Budget limits extra attempts to 10% of requests. The zero value is ready to
-// use and holds initialTokens.
+// Terms are the bounds of a budget. Zero fields take the defaults.
+type Terms struct {
+	// Ratio is the number of extra attempts that a request earns.
+	Ratio float64
+	// Max is the number of extra attempts that can be saved up.
+	Max float64
+	// Initial is the number of extra attempts at the start.
+	Initial float64
+}
+
+func (t Terms) withDefaults() Terms {
+	if t == (Terms{}) {
+		return Terms{Ratio: defaultRatio, Max: defaultMax, Initial: defaultInitial}
+	}
+	return t
+}
+
+// Budget limits extra attempts to a part of the requests. The zero value is
+// ready to use and has the default terms.
 type Budget struct {
-	// earned is the balance without initialTokens.
+	Terms Terms
+	// earned is the balance without the initial one.
 	earned atomic.Int64
 }
 
 // Earn records a request.
 func (b *Budget) Earn() {
+	t := b.Terms.withDefaults()
+	top := int64((t.Max - t.Initial) * unit)
 	for {
 		old := b.earned.Load()
-		if old+initialTokens >= maxTokens {
+		if old >= top {
 			return
 		}
-		if b.earned.CompareAndSwap(old, old+1) {
+		if b.earned.CompareAndSwap(old, min(top, old+int64(t.Ratio*unit))) {
 			return
 		}
 	}
@@ -37,9 +64,10 @@
 // Spend takes the price of one extra attempt and reports whether the budget
 // allowed it.
 func (b *Budget) Spend() bool {
+	initial := int64(b.Terms.withDefaults().Initial * unit)
 	for {
 		old := b.earned.Load()
-		if old+initialTokens < unit {
+		if old+initial < unit {
 			return false
 		}
 		if b.earned.CompareAndSwap(old, old-unit) {
@@ -52,3 +80,30 @@
 func (b *Budget) Refund() {
 	b.earned.Add(unit)
 }
+
+// Budgets keeps a budget for each pool, because a platform may bound the extra
+// attempts of each pool apart. The zero value is ready to use.
+type Budgets struct {
+	Terms Terms
+	mu    sync.RWMutex
+	m     map[cove.PoolName]*Budget
+}
+
+// For returns the budget of a pool.
+func (s *Budgets) For(pool cove.PoolName) *Budget {
+	s.mu.RLock()
+	b := s.m[pool]
+	s.mu.RUnlock()
+	if b != nil {
+		return b
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.m == nil {
+		s.m = make(map[cove.PoolName]*Budget)
+	}
+	if s.m[pool] == nil {
+		s.m[pool] = &Budget{Terms: s.Terms}
+	}
+	return s.m[pool]
+}
--- a/internal/route/retry/retry_test.go
+++ b/internal/route/retry/retry_test.go
@@ -25,7 +25,7 @@
 			} else if spend(&b) {
 				extra++
 			}
-			if extra*unit > requests+initialTokens {
+			if float64(extra) > defaultRatio*float64(requests)+defaultInitial {
 				return false
 			}
 		}
@@ -44,7 +44,7 @@
 // Guards against a budget that a long quiet time fills without bound.
 func TestBudgetBurst(t *testing.T) {
 	var b Budget
-	for range 100 * maxTokens {
+	for range int(100 * defaultMax / defaultRatio) {
 		b.Earn()
 	}
 	n := 0
@@ -54,8 +54,8 @@
 	if b.Refund(); !b.Spend() || b.Spend() {
 		t.Error("a refund is not worth one attempt")
 	}
-	if n != maxTokens/unit {
-		t.Errorf("%d extra attempts at once, want %d", n, maxTokens/unit)
+	if n != defaultMax {
+		t.Errorf("%d extra attempts at once, want %d", n, defaultMax)
 	}
 }
 
--- a/request.go
+++ b/request.go
@@ -35,6 +35,8 @@
 
 // WorkClass describes a request to admission and choice.
 type WorkClass struct {
+	// ID is the request id, for logs.
+	ID       string
 	Team     Team
 	Weight   int
 	Route    RouteName
@@ -49,6 +51,16 @@
 	Origin    Region
 	// Block spreads requests stably by client block.
 	Block uint64
+	// Started is when the request arrived.
+	Started time.Time
+	// Goal is the time after Started within which an answer has its full worth.
+	Goal time.Duration
+	// Object identifies what the request concerns; 0 means nothing.
+	Object uint64
+	// Homes and TeamHomes are the regions in which the request may run. Where
+	// both are set, both bind.
+	Homes     []Region
+	TeamHomes []Region
 }
 
 // Target is where one attempt goes: a backend server of the own failure
@@ -86,6 +98,20 @@
 	// Canceled means that the caller gave up; it says nothing of the server.
 	Canceled bool
 	Bytes    int64
+	// Misdirected means that another backend server has the address now.
+	Misdirected bool
+	// Load is what the backend server reported with its answer.
+	Load LoadReport
+	// Connect is how long it took to open the connection; 0 when it was open.
+	Connect time.Duration
+}
+
+// LoadReport is a backend server's own count of its work. The zero value means
+// that it reported nothing.
+type LoadReport struct {
+	Running int
+	Waiting int
+	Slots   int
 }
 
 // Exclude lists targets that a request has tried before.
--- a/table.go
+++ b/table.go
@@ -22,6 +22,8 @@
 type DomainRow struct {
 	Name   Domain `json:"name"`
 	Region Region `json:"region"`
+	// Evacuated domains get no requests.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // Route tells which requests go to which pools.
@@ -47,6 +49,15 @@
 	StaleKeys string `json:"staleKeys,omitempty"`
 	// Cost of one request in units of the team's rate. Zero means 1.
 	Cost int `json:"cost,omitempty"`
+	// AnyTeam opens the route to every team; Teams is ignored then.
+	AnyTeam bool `json:"anyTeam,omitempty"`
+	// Sticky routes send requests for the same object to the same backend
+	// server while it has room.
+	Sticky bool `json:"sticky,omitempty"`
+	// Goal is the time within which an answer has its full worth.
+	Goal Duration `json:"goal,omitempty"`
+	// Homes are the regions in which requests may run; empty means all.
+	Homes []Region `json:"homes,omitempty"`
 }
 
 // PoolWeight gives a pool a share of a route's requests.
@@ -82,6 +93,11 @@
 	// RequestBytes is the expected size of a request with its answer, which
 	// is charged to the link between two regions.
 	RequestBytes int `json:"requestBytes,omitempty"`
+	// ColdStart is how long a backend server stays cold after its start.
+	ColdStart Duration `json:"coldStart,omitempty"`
+	// ColdRate is the number of requests per second that a cold backend server
+	// may get from all hosts together. Zero means no bound.
+	ColdRate float64 `json:"coldRate,omitempty"`
 }
 
 // Server is a backend server.
@@ -93,6 +109,11 @@
 	Slots       int            `json:"slots"`
 	Connections int            `json:"connections,omitempty"`
 	Draining    bool           `json:"draining,omitempty"`
+	// ColdUntil is when the server has warmed up.
+	ColdUntil time.Time `json:"coldUntil,omitzero"`
+	// Born is when the server started. A server that starts again under its
+	// former id has a new one.
+	Born time.Time `json:"born,omitzero"`
 }
 
 // TeamRow holds the limits and keys of a team.
@@ -105,6 +126,11 @@
 	Weight int     `json:"weight,omitempty"`
 	// Keys are digests; the tables never hold a key.
 	Keys []KeyRow `json:"keys,omitempty"`
+	// Priority replaces that of the route.
+	Priority *int `json:"priority,omitempty"`
+	// Homes are the regions in which the team's requests may run; empty means
+	// all.
+	Homes []Region `json:"homes,omitempty"`
 }
 
 // KeyRow is the digest of a key under a name for operators.
