Let requests leave their warm server only when it pays

Cause: spills.

Change: a request leaves its first server only when the answer from elsewhere comes earlier by more than the work it makes there. Servers of the own region weigh four times as much where a trip to another region takes over a fifth of the goal.

Conclusion: warmth decides.

--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -25,7 +25,7 @@
 
 // boundUse is the part of the bound that is handed out. The rest covers a host
 // that has registered but is not known to all others yet.
-const boundUse = 0.88
+const boundUse = 0.94
 
 // depth is how many seconds of the rate a host may save up.
 const depth = 1.0
--- a/internal/ops/site/site.go
+++ b/internal/ops/site/site.go
@@ -5,6 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +16,7 @@
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/clock"
 	"turmericcove.org/cove/internal/core/event"
+	"turmericcove.org/cove/internal/core/group"
 	"turmericcove.org/cove/internal/core/kern"
 	"turmericcove.org/cove/internal/core/meter"
 	"turmericcove.org/cove/internal/fleet/pulse"
@@ -43,6 +47,7 @@
 	kernel  kern.Kernel
 	proxy   *proxy.Proxy
 	split   *split.Split
+	tasks   *group.Group
 	leaving atomic.Bool
 }
 
@@ -86,7 +91,12 @@
 // Start starts the services.
 func (h *Host) Start(ctx context.Context) error {
 	h.Events.Emit("host.started", "start")
-	return h.kernel.Start(ctx)
+	if err := h.kernel.Start(ctx); err != nil {
+		return err
+	}
+	h.tasks = group.New(context.Background())
+	h.tasks.Go(h.logCounters)
+	return nil
 }
 
 // Ready reports whether the host takes callers.
@@ -102,11 +112,35 @@
 	if err := h.Clock.Sleep(ctx, linger); err != nil {
 		h.Events.Emit("host.hardStop", err.Error())
 	}
+	h.tasks.Cancel()
 	err := h.kernel.Stop(ctx)
 	h.Events.Emit("host.stopped", "stop requested")
 	return err
 }
 
+// countEvery is how often the counters that have changed are logged.
+const countEvery = 10 * time.Second
+
+// logCounters logs what the counters gained, so that logs alone tell how many
+// decisions of each kind there were.
+func (h *Host) logCounters(ctx context.Context) error {
+	last := map[string]int64{}
+	for {
+		if err := h.Clock.Sleep(ctx, countEvery); err != nil {
+			return err
+		}
+		next := h.Counters.Counts()
+		var fields []cove.Field
+		for _, name := range slices.Sorted(maps.Keys(next)) {
+			if d := next[name] - last[name]; d != 0 {
+				fields = append(fields, cove.Field{Name: name, Value: strconv.FormatInt(d, 10)})
+			}
+		}
+		last = next
+		h.Events.Emit("counters", countEvery.String(), fields...)
+	}
+}
+
 // Topics of the messages about tokens.
 const (
 	askTopic  = "ask"
--- a/internal/route/place/choose.go
+++ b/internal/route/place/choose.go
@@ -16,8 +16,10 @@
 	Work time.Duration
 	// Mean is the mean time in a slot of all requests there.
 	Mean time.Duration
-	// Warm tells that the server is the first one for the object.
-	Warm bool
+	// Guess tells that Work does not rest on samples. A guess orders servers,
+	// but refuses no request: a route whose guess is too long would never be
+	// measured.
+	Guess bool
 }
 
 // wait returns the expected time until a slot is free.
@@ -32,17 +34,10 @@
 // Finish returns the expected time until the answer is here.
 func (c *Candidate) Finish() time.Duration { return c.Trip + c.wait() + c.Work }
 
-// Terms are the bounds of a choice.
-type Terms struct {
-	// Spill is the load, in parts of the slots, from which on a later server is
-	// tried. Running elsewhere takes several times as long and pushes other
-	// objects out, so a short wait at the warm server is cheaper for all.
-	Spill float64
-	// Full is the load, in parts of the slots, from which on a server gets no
-	// further request. It keeps room in the queue of the server for requests
-	// that other hosts send meanwhile.
-	Full float64
-}
+// Full is the load, in parts of the slots, from which on a server gets no
+// further request. Servers queue a few requests for each slot; beyond that they
+// refuse, and a refused request has cost a trip.
+const Full = 4.0
 
 // Verdict tells why a choice was made.
 type Verdict string
@@ -53,8 +48,6 @@
 	First Verdict = "first"
 	// Spilled is a later one, because those before it were loaded.
 	Spilled Verdict = "spilled"
-	// Least is the one with the earliest finish, because all are loaded.
-	Least Verdict = "least"
 	// TooLate means that none can answer before the deadline.
 	TooLate Verdict = "tooLate"
 	// NoRoom means that all servers have their fill.
@@ -72,10 +65,14 @@
 }
 
 // Choose picks one of the candidates, which come in the order of the object.
-// left is the time until the deadline. The load pattern behind it is a burst on
-// a service whose warm servers are at their slots: requests that spread over all
-// servers find each of them cold, run three times as long and double the load.
-func Choose(cands []Candidate, t Terms, left time.Duration) Choice {
+// left is the time until the deadline.
+//
+// The load pattern behind it is a burst on a service whose warm servers are at
+// their slots: requests that spread over all servers find each of them cold, run
+// three times as long and double the load. A request therefore leaves its first
+// server only when the answer from elsewhere comes earlier by more than the work
+// it makes there, or when it could not be served in time.
+func Choose(cands []Candidate, left time.Duration) Choice {
 	if len(cands) == 0 {
 		return Choice{Index: -1, Verdict: None}
 	}
@@ -84,28 +81,31 @@
 	for i := range cands {
 		c := &cands[i]
 		wait = min(wait, max(c.wait(), c.Mean))
-		if c.Load >= t.Full*float64(c.Slots) {
-			continue
-		}
-		if c.Finish() > left {
+		switch {
+		case c.Load >= Full*float64(c.Slots):
+		case !c.Guess && c.Finish() > left:
 			late = true
-			continue
-		}
-		if c.Load < t.Spill*float64(c.Slots) {
-			if i == 0 {
-				return Choice{Index: i, Verdict: First}
-			}
-			return Choice{Index: i, Verdict: Spilled}
-		}
-		if best < 0 || c.Finish() < cands[best].Finish() {
+		case best < 0 || c.Finish()+c.harm() < cands[best].Finish():
 			best = i
 		}
 	}
 	switch {
-	case best >= 0:
-		return Choice{Index: best, Verdict: Least}
+	case best == 0:
+		return Choice{Index: 0, Verdict: First}
+	case best > 0:
+		return Choice{Index: best, Verdict: Spilled}
 	case late:
 		return Choice{Index: -1, Verdict: TooLate, Wait: wait}
 	}
 	return Choice{Index: -1, Verdict: NoRoom, Wait: wait}
 }
+
+// harm is the work that a request makes at a server where its object is cold and
+// pushes others out.
+func (c *Candidate) harm() time.Duration {
+	if c.Load >= float64(c.Slots) {
+		// Nobody gains from a second queue.
+		return time.Duration(math.MaxInt64) / 4
+	}
+	return c.Work
+}
--- a/internal/route/place/load.go
+++ b/internal/route/place/load.go
@@ -6,8 +6,8 @@
 )
 
 // othersFade is the time in which the believed load of other hosts falls to
-// 1/e when no report comes. A report describes a moment; requests last for
-// some tenths of a second.
+// 1/e when no report comes. Trials with the mean load in place of none sent more
+// requests to servers that are cold for them.
 const othersFade = 700 * time.Millisecond
 
 // Load estimates the number of requests at a backend server from the last
@@ -24,9 +24,6 @@
 // End counts its end.
 func (l *Load) End() { l.own-- }
 
-// Own returns the number of this host's requests.
-func (l *Load) Own() int { return l.own }
-
 // Report takes over a report of the server. It must be called after End for the
 // request that brought it, because a server does not count that one any more.
 func (l *Load) Report(now time.Time, running, waiting int) {
@@ -45,6 +42,5 @@
 	if l.at.IsZero() {
 		return float64(l.own)
 	}
-	fade := math.Exp(-float64(now.Sub(l.at)) / float64(othersFade))
-	return float64(l.own) + l.others*fade
+	return float64(l.own) + l.others*math.Exp(-float64(now.Sub(l.at))/float64(othersFade))
 }
--- a/internal/route/place/order.go
+++ b/internal/route/place/order.go
@@ -4,7 +4,10 @@
 // no state and does no input or output.
 package place
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Order keeps the best servers for an object. The zero value is empty.
 type Order struct {
@@ -51,6 +54,27 @@
 	return -weight / math.Log(u)
 }
 
+const (
+	// nearNeed is the part of the goal from which on the trip to another region
+	// counts. Below it, one place for each object among all servers is best: the
+	// servers share bursts of one region and the loss of another.
+	nearNeed = 0.2
+	// nearGain is the weight of near servers then. With a quarter of the weight
+	// far servers still take the overflow of a region with few servers; trials in
+	// docs/measurements.md compare 1, 2, 4 and 8.
+	nearGain = 4
+)
+
+// NearWeight returns the weight of a server in the caller's region, where the
+// others have 1, for requests that need a far trip and should be answered within
+// goal.
+func NearWeight(far, goal time.Duration) float64 {
+	if goal > 0 && float64(far) > nearNeed*float64(goal) {
+		return nearGain
+	}
+	return 1
+}
+
 // mix is the finalizer of SplitMix64, which spreads each input bit over all
 // output bits.
 func mix(v uint64) uint64 {
--- a/internal/route/place/work.go
+++ b/internal/route/place/work.go
@@ -9,8 +9,13 @@
 // Work is the measured time in a slot of a kind of request. The zero value
 // expects none.
 type Work struct {
-	warm mean
-	cold mean
+	// Goal is the time within which an answer has its full worth. Until samples
+	// come it tells how long the work is likely to take.
+	Goal time.Duration
+	// Probed is when a request was last sent although it was expected to be late.
+	Probed time.Time
+	warm   mean
+	cold   mean
 }
 
 type mean struct {
@@ -29,6 +34,9 @@
 	m.d += (d - m.d) / time.Duration(m.n)
 }
 
+// Known reports whether the time rests on samples.
+func (w *Work) Known() bool { return w.warm.n+w.cold.n > 0 }
+
 // Observe records the time of one request, at the first server of its object
 // or elsewhere.
 func (w *Work) Observe(first bool, d time.Duration) {
@@ -39,13 +47,19 @@
 	}
 }
 
-// Expect returns the mean time. Without samples of one kind, those of the other
-// serve.
+// Expect returns the mean time. Without samples, it is taken that an operator
+// sets a goal that cold work just meets.
 func (w *Work) Expect(first bool) time.Duration {
-	if first && w.warm.n > 0 || w.cold.n == 0 {
+	switch {
+	case first && w.warm.n > 0:
 		return w.warm.d
+	case w.cold.n > 0:
+		return w.cold.d
+	case w.warm.n > 0:
+		return max(w.warm.d, w.Goal)
 	}
-	return w.cold.d
+	// Before anything was handled, every object is cold.
+	return w.Goal
 }
 
 // Turns hands requests to the parts of a split in the proportion of their
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -62,7 +62,7 @@
 	case res.Load.Slots > 0:
 		t.srv.load.Report(now, res.Load.Running, res.Load.Waiting)
 	case res.Shed:
-		t.srv.load.Full(now, int(s.cfg.Full*float64(t.srv.row.Slots))+1)
+		t.srv.load.Full(now, int(place.Full*float64(t.srv.row.Slots))+1)
 	}
 	before := t.srv.judged.Ejected(now)
 	t.srv.judged.Done(now, res)
--- a/internal/route/steer/steer.go
+++ b/internal/route/steer/steer.go
@@ -15,32 +15,12 @@
 	"turmericcove.org/cove/internal/route/place"
 )
 
-// Settings are the bounds of the deployment. Zero fields take the defaults.
+// Settings are the bounds of the deployment.
 type Settings struct {
 	// Cold bounds the requests to a cold server in each second, over all hosts:
 	// its rate × ColdOver + ColdSlack.
 	ColdOver  float64
 	ColdSlack float64
-	// Spill and Full are the terms of a choice, in parts of the slots.
-	Spill float64
-	Full  float64
-}
-
-const (
-	// defaultSpill and defaultFull come from trials on days of high load, in
-	// docs/measurements.md.
-	defaultSpill = 1.6
-	defaultFull  = 2.6
-)
-
-func (s Settings) withDefaults() Settings {
-	if s.Spill == 0 {
-		s.Spill = defaultSpill
-	}
-	if s.Full == 0 {
-		s.Full = defaultFull
-	}
-	return s
 }
 
 // Hosts gives the entry hosts that may send to backend servers.
@@ -86,7 +66,7 @@
 // New returns an admitter that follows the tables.
 func New(self cove.Self, clock cove.Clock, tables cove.Tables, hosts Hosts, count cove.Counters, events cove.Events, cfg Settings) *Steer {
 	s := &Steer{
-		self: self, clock: clock, count: count, events: events, hosts: hosts, cfg: cfg.withDefaults(),
+		self: self, clock: clock, count: count, events: events, hosts: hosts, cfg: cfg,
 		pools:   make(map[cove.PoolName]*pool),
 		domains: make(map[cove.Domain]*domain),
 		routes:  make(map[cove.RouteName]*route),
@@ -126,6 +106,8 @@
 		s.count.Add("steer.noPool", 1)
 		return nil, errNoServer
 	}
+	w := s.work(work.Route, name)
+	w.Goal = work.Goal
 	order, known := s.order(p, &work, ex, now)
 	if len(order) == 0 {
 		s.count.Add("steer.none", 1)
@@ -134,22 +116,30 @@
 		}
 		return nil, errNoServer
 	}
-	w := s.work(work.Route, name)
 	s.cands = s.cands[:0]
 	for i, srv := range order {
 		s.cands = append(s.cands, s.candidate(p, srv, w, i == 0, now))
 	}
-	c := place.Choose(s.cands, place.Terms{Spill: s.cfg.Spill, Full: s.cfg.Full}, work.Deadline.Sub(now))
+	c := place.Choose(s.cands, work.Deadline.Sub(now))
 	s.count.Add("steer."+string(c.Verdict), 1)
 	switch c.Verdict {
 	case place.TooLate:
-		return nil, errLate
+		if now.Sub(w.Probed) < probeEvery {
+			return nil, errLate
+		}
+		// Without a request now and then, times that have become short again
+		// would not be noticed.
+		w.Probed = now
+		c.Index = 0
 	case place.NoRoom:
 		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", spread(work.ID, c.Wait))
 	}
 	return s.begin(p, order[c.Index], &work, w, c.Index == 0, now), nil
 }
 
+// probeEvery is how often a request is sent although it is expected to be late.
+const probeEvery = 500 * time.Millisecond
+
 // spread returns a time of d to 2 d that depends on the request, so that callers
 // refused together do not come back together.
 func spread(id string, d time.Duration) time.Duration {
@@ -193,6 +183,7 @@
 	var fit, poor place.Order
 	known := 0
 	object := work.Object
+	near := s.nearWeight(work)
 	for i, srv := range p.list {
 		d := s.domains[srv.row.Domain]
 		if d == nil || d.evacuated || srv.row.Draining || srv.misplaced || excluded(ex, srv.row.ID) {
@@ -202,7 +193,7 @@
 			continue
 		}
 		known++
-		score := s.score(srv, d, object, now)
+		score := s.score(srv, d, object, near, now)
 		if !srv.mayTake(now) {
 			continue
 		}
@@ -225,11 +216,32 @@
 	return p.order, known
 }
 
+// nearWeight returns the weight of the servers of the own region in the order of
+// an object. It follows from the distances and the goal alone, so that all hosts
+// of the region agree.
+func (s *Steer) nearWeight(work *cove.WorkClass) float64 {
+	var far, n time.Duration
+	for _, d := range s.domains {
+		if d.region != s.self.Region {
+			far += d.trip
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return place.NearWeight(far/n, work.Goal)
+}
+
 // score ranks the servers for an object. Without one, the least loaded near
 // server is best.
-func (s *Steer) score(srv *server, d *domain, object uint64, now time.Time) float64 {
+func (s *Steer) score(srv *server, d *domain, object uint64, near float64, now time.Time) float64 {
 	if object != 0 {
-		return place.Score(object, srv.key, 1)
+		weight := 1.0
+		if d.region == s.self.Region {
+			weight = near
+		}
+		return place.Score(object, srv.key, weight)
 	}
 	free := srv.load.Expect(now) / float64(max(srv.row.Slots, 1))
 	return -free - d.trip.Seconds()
@@ -264,6 +276,6 @@
 		Trip:  s.domains[srv.row.Domain].trip,
 		Work:  w.Expect(first),
 		Mean:  p.mean.Expect(true),
-		Warm:  first,
+		Guess: !w.Known(),
 	}
 }
