Count a late answer of a server that answers others as load, not as silence

Change: place.Answers tells a server that answers others from one that leaves all requests without an answer. Refusals of a server's own shedding now carry a Retry-After.

--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -117,6 +118,10 @@
 	}
 }
 
+// shedRetry is when a caller may come back after a backend server has refused its
+// request. Other servers may have room at once.
+const shedRetry = 60 * time.Millisecond
+
 // shed ends an attempt that the backend server refused without running it.
 func (a *answer) shed() *failure {
 	res := a.result(nil)
@@ -129,8 +134,11 @@
 	if res.Draining {
 		retry = cove.RetryDraining
 	}
+	refusal := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, "backend server refused the work")
+	// Half to one and a half of a time, so that callers do not come back together.
+	refusal.RetryAfter = shedRetry/2 + rand.N(shedRetry)
 	return &failure{
-		refusal: cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, "backend server refused the work"),
+		refusal: refusal,
 		retry:   retry,
 		avoid:   &a.t.target,
 	}
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -27,6 +27,7 @@
 	free := srv.load.Expect(now) < float64(srv.row.Slots)
 	srv.load.Begin()
 	srv.judged.Begin()
+	srv.answers.Begin(now)
 	if now.Before(srv.coldUntil) {
 		srv.next = now.Add(srv.gap)
 	}
@@ -53,6 +54,7 @@
 	}
 	t.done = true
 	t.srv.load.End()
+	t.srv.answers.End(now, res.Status != 0)
 	t.measure(res)
 	switch {
 	case res.Misdirected:
@@ -65,6 +67,10 @@
 		t.srv.load.Full(now, int(place.Full*float64(t.srv.row.Slots))+1)
 	}
 	before := t.srv.judged.Ejected(now)
+	if res.Silent && t.srv.answers.Lively(now) {
+		// It answers others: the request waited too long in its queue.
+		res = cove.Result{Canceled: true}
+	}
 	t.srv.judged.Done(now, res)
 	if !before && t.srv.judged.Ejected(now) {
 		s.count.Add("steer.ejected", 1)
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -27,6 +27,8 @@
 	key    uint64
 	load   place.Load
 	judged *health.Server
+	// answers tells whether the server still answers.
+	answers place.Answers
 	// misplaced is set when another server has answered at the address. It
 	// holds until the tables change the row.
 	misplaced bool
@@ -39,6 +41,19 @@
 	coldUntil time.Time
 }
 
+// patience is how long a server may leave all requests of this host without an
+// answer. Its slots work side by side, so answers come more often than requests
+// last.
+func (p *pool) patience() time.Duration {
+	return max(minPatience, patienceFactor*p.mean.Expect(false))
+}
+
+const (
+	// minPatience covers the trip between regions and the reading of a report.
+	minPatience    = 400 * time.Millisecond
+	patienceFactor = 3
+)
+
 // mayTake reports whether the bound on cold servers allows a request.
 func (s *server) mayTake(now time.Time) bool {
 	if !now.Before(s.coldUntil) {
--- a/internal/route/steer/steer.go
+++ b/internal/route/steer/steer.go
@@ -197,7 +197,7 @@
 		if !srv.mayTake(now) {
 			continue
 		}
-		if srv.judged.Ejected(now) {
+		if srv.judged.Ejected(now) || srv.answers.Stalled(now, p.patience()) {
 			poor.Add(i, score)
 			continue
 		}
