Divide quotas by failure domain, with few minters and loans in batches

The others ask a minter when a request needs a token; it waits for 100 ms at most, and not at all for 150 ms after three minters had none. Tokens for waiting requests are spent at once and not kept.

--- a/internal/fleet/pulse/pulse.go
+++ b/internal/fleet/pulse/pulse.go
@@ -153,9 +153,6 @@
 	return s.list
 }
 
-// Hosts returns the number of registered hosts.
-func (s *Service) Hosts() int { return max(1, len(s.Registered())) }
-
 // Leave tells the others that this host takes no new callers.
 func (s *Service) Leave() {
 	s.mu.Lock()
@@ -302,25 +299,23 @@
 	s.write(data, h.Peer)
 }
 
-// Lenders returns the live hosts, nearest first, without this one.
-func (s *Service) Lenders() []cove.HostID {
-	now := s.Clock.Now()
+// Live reports whether a host was heard a moment ago. This one always is.
+func (s *Service) Live(id cove.HostID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.hosts[id]
+	return h != nil && (id == s.Self.ID || h.alive(s.Clock.Now()))
+}
+
+// All returns the registered hosts in order of their names.
+func (s *Service) All() []Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var near, region, far []cove.HostID
+	out := make([]Host, 0, len(s.list))
 	for _, id := range s.list {
-		h := s.hosts[id]
-		switch {
-		case id == s.Self.ID || !h.alive(now):
-		case h.Domain == s.Self.Domain:
-			near = append(near, id)
-		case h.Region == s.Self.Region:
-			region = append(region, id)
-		default:
-			far = append(far, id)
-		}
+		out = append(out, s.hosts[id].Host)
 	}
-	return append(append(near, region...), far...)
+	return out
 }
 
 // Near returns the addresses at which callers in a failure domain should
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -1,8 +1,9 @@
-// Package split divides the rate of each team between all registered hosts in
-// equal parts and lets hosts lend each other tokens. Each host mints only its
-// own part, and a loan is taken out of the lender's bucket before it is sent, so
-// the sum over all hosts stays within the bound whatever is cut off, frozen,
-// killed or lost. A host that restarts begins with an empty bucket.
+// Package split divides the rate of each team between failure domains in equal
+// parts and lets hosts lend each other tokens. Each part is minted by a few hosts
+// of the domain, which all hosts derive from the register. A loan is taken out of
+// the lender's bucket before it is sent, so the sum over all hosts stays within
+// the bound whatever is cut off, frozen, killed or lost. A host that restarts
+// begins with an empty bucket.
 package split
 
 import (
@@ -11,43 +12,27 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/limit/rate"
+	"turmericcove.org/cove/internal/route/place"
 )
 
-// Bound is what the deployment allows all hosts together in each Window:
-// (rate × Window + burst) × (1 + Over) + Slack requests.
-type Bound struct {
-	Window time.Duration
-	Over   float64
-	Slack  float64
-}
-
-// boundUse is the part of the bound that is handed out. The rest covers a host
-// that has registered but is not known to all others yet.
-const boundUse = 0.94
-
-// depth is how many seconds of the rate a host may save up.
-const depth = 1.0
-
-// quota returns a team's quota for one of hosts. With a bucket of depth seconds,
-// a window of W seconds passes at most rate × (W + depth).
-func (b Bound) quota(row cove.TeamRow, hosts int) rate.Quota {
-	w := b.Window.Seconds()
-	if w <= 0 {
-		w = 1
-	}
-	total := ((row.Rate*w+row.Burst)*(1+b.Over) + b.Slack) * boundUse
-	each := total / (w + depth) / float64(max(hosts, 1))
-	return rate.Quota{Rate: rate.Limit(each), Burst: rate.Limit(each * depth)}
+// Peer is a registered host.
+type Peer struct {
+	ID     cove.HostID
+	Region cove.Region
+	Domain cove.Domain
+	// Live tells that the host was heard a moment ago.
+	Live bool
 }
 
-// Peers are the other hosts from which tokens can be borrowed.
+// Peers are the hosts of the register.
 type Peers interface {
-	// Hosts returns the number of registered hosts, this one included.
-	Hosts() int
-	// Lenders returns the live hosts, nearest first, without this one.
-	Lenders() []cove.HostID
+	// Peers returns all registered hosts in the order of their names, this one
+	// included.
+	Peers() []Peer
 	// Ask sends a request for tokens; the answer comes to Receive. It does not
 	// wait, and the request may get lost.
 	Ask(to cove.HostID, team cove.Team, tokens float64)
@@ -55,13 +40,13 @@
 
 // Split implements cove.Limiter. Use New.
 type Split struct {
+	self  cove.Self
 	clock cove.Clock
 	count cove.Counters
 	peers Peers
 	bound Bound
 
 	mu    sync.Mutex
-	hosts int
 	rows  map[cove.Team]cove.TeamRow
 	teams map[cove.Team]*team
 }
@@ -70,19 +55,30 @@
 type team struct {
 	limited bool
 	bucket  rate.Bucket
-	// askAt is when this host may ask for tokens again, next the lender that is
+	// minters are the hosts that mint tokens, those of the own failure domain
+	// first, then those of the region.
+	minters []cove.HostID
+	// askAt is when this host may ask for tokens again, next the minter that is
 	// asked then.
 	askAt time.Time
 	next  int
-	// spent is the number of lenders in a row that had nothing.
-	spent int
+	// empty is the number of minters in a row that had nothing, dryUntil when
+	// it is worth asking all of them again.
+	empty    int
+	dryUntil time.Time
+	// waiting is what the requests that wait for a loan need, and credit what
+	// has come for them. It is spent at once and not kept in the bucket.
+	waiting rate.Amount
+	credit  rate.Amount
+	// came is closed when a loan or a refusal of one arrives.
+	came chan struct{}
 }
 
 var _ cove.Limiter = (*Split)(nil)
 
 // New returns a limiter that follows the tables.
-func New(clock cove.Clock, tables cove.Tables, peers Peers, count cove.Counters, b Bound) *Split {
-	s := &Split{clock: clock, count: count, peers: peers, bound: b, teams: make(map[cove.Team]*team)}
+func New(self cove.Self, clock cove.Clock, tables cove.Tables, peers Peers, count cove.Counters, b Bound) *Split {
+	s := &Split{self: self, clock: clock, count: count, peers: peers, bound: b, teams: make(map[cove.Team]*team)}
 	tables.Watch(s.apply)
 	return s
 }
@@ -106,15 +102,18 @@
 
 func (s *Split) divide() {
 	now := s.clock.Now()
-	hosts := s.peers.Hosts()
+	peers := s.peers.Peers()
 	for name, row := range s.rows {
 		m := s.teams[name]
 		if m == nil {
-			m = new(team)
+			m = &team{came: make(chan struct{})}
 			s.teams[name] = m
 		}
 		m.limited = row.Rate > 0 || row.Burst > 0
-		m.bucket.Set(now, s.bound.quota(row, hosts))
+		part := s.bound.divide(row, peers, s.self.ID)
+		m.bucket.Set(now, part.quota)
+		m.minters = lenders(part.minters, peers, s.self)
+		m.dryUntil, m.empty = time.Time{}, 0
 	}
 	for name := range s.teams {
 		if _, ok := s.rows[name]; !ok {
@@ -123,76 +122,183 @@
 	}
 }
 
-// Times between requests for tokens. An answer from another region takes about
-// 100 ms; lenders that had nothing are asked less often.
+// lenders orders the other minters by their distance.
+func lenders(minters map[cove.HostID]bool, peers []Peer, self cove.Self) []cove.HostID {
+	var near, region, far []cove.HostID
+	for _, p := range peers {
+		switch {
+		case !minters[p.ID] || p.ID == self.ID:
+		case p.Domain == self.Domain:
+			near = append(near, p.ID)
+		case p.Region == self.Region:
+			region = append(region, p.ID)
+		default:
+			far = append(far, p.ID)
+		}
+	}
+	// Hosts start at different lenders of a group, so that not all ask the same.
+	for _, group := range [][]cove.HostID{near, region, far} {
+		if len(group) > 0 {
+			k := int(xxhash.Sum64String(string(self.ID)) % uint64(len(group)))
+			rotated := append(append([]cove.HostID(nil), group[k:]...), group[:k]...)
+			copy(group, rotated)
+		}
+	}
+	return append(append(near, region...), far...)
+}
+
 const (
-	askEvery  = 60 * time.Millisecond
-	askPoor   = 300 * time.Millisecond
-	poorAfter = 4
+	// dryTime is how long a team counts as over its rate after the minters that
+	// were asked had nothing. Its requests are refused at once meanwhile.
+	dryTime = 150 * time.Millisecond
+	// dryAfter is the number of minters without tokens that show this.
+	dryAfter = 3
+	// askWait bounds how long a request waits for a loan, and is the time after
+	// which an unanswered request for tokens counts as lost. An answer from
+	// another region takes up to 80 ms.
+	askWait = 100 * time.Millisecond
+	// low is the part of a bucket below which tokens are asked for, so that they
+	// come before the bucket is empty.
+	low = 0.5
 )
 
-// low is the part of a bucket below which tokens are asked for, so that they
-// come before the bucket is empty.
-const low = 0.5
-
-// Retry times of a refusal: a token's worth of time, bounded.
+// Retry times of a refusal.
 const (
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second
 )
 
-// Take implements cove.Limiter. It does not wait: a team that is over its rate
-// at one host usually is so at all.
-func (s *Split) Take(_ context.Context, name cove.Team, cost float64) error {
+// Take implements cove.Limiter. Without a token it waits for a loan, but only
+// while a minter may still have some.
+func (s *Split) Take(ctx context.Context, name cove.Team, cost float64) error {
+	until := s.clock.Now().Add(askWait)
+	need := rate.Cost(cost)
+	waits := false
+	defer func() {
+		if waits {
+			s.settle(name, need)
+		}
+	}()
+	for {
+		came, ok := s.try(name, need, until, waits)
+		if ok {
+			return nil
+		}
+		waits = came != nil
+		if came == nil {
+			return s.refuse(name, cost)
+		}
+		timer := s.clock.NewTimer(until.Sub(s.clock.Now()))
+		select {
+		case <-came:
+		case <-timer.C():
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// try takes tokens. Without enough of them it returns a channel that is closed
+// when an answer to a request for tokens comes, or nil when none is worth
+// waiting for.
+func (s *Split) try(name cove.Team, need rate.Amount, until time.Time, waits bool) (<-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.teams[name]
 	if m == nil || !m.limited {
-		return nil
+		return nil, true
 	}
 	now := s.clock.Now()
-	ok := m.bucket.Take(now, rate.Cost(cost))
-	s.borrow(name, m, now)
-	if ok {
-		return nil
+	if waits && m.credit >= need {
+		m.credit -= need
+		return nil, true
 	}
-	r := cove.Refuse(http.StatusTooManyRequests, cove.ReasonRate, "team is over its rate")
-	wait, possible := m.bucket.Wait(rate.Cost(cost))
-	if !possible {
-		wait = maxRetry
+	if m.bucket.Take(now, need) {
+		s.borrow(name, m, now)
+		return nil, true
 	}
-	r.RetryAfter = min(max(wait, minRetry), maxRetry)
-	return r
+	if now.Before(m.dryUntil) || !now.Before(until) {
+		return nil, false
+	}
+	if !waits {
+		m.waiting += need
+	}
+	if !s.borrow(name, m, now) {
+		if !waits {
+			m.waiting -= need
+		}
+		return nil, false
+	}
+	return m.came, false
 }
 
-// borrow asks a lender when the bucket runs low.
-func (s *Split) borrow(name cove.Team, m *team, now time.Time) {
-	q := m.bucket.Quota()
-	if m.bucket.Level() > q.Burst.Scale(int64(low*100), 100) || now.Before(m.askAt) {
+// settle ends the wait of a request. What came for requests that no longer wait
+// goes into the bucket.
+func (s *Split) settle(name cove.Team, need rate.Amount) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.teams[name]
+	if m == nil {
 		return
 	}
-	lenders := s.peers.Lenders()
-	if len(lenders) == 0 {
-		return
+	m.waiting = max(0, m.waiting-need)
+	if over := m.credit - m.waiting; over > 0 {
+		m.credit -= over
+		m.bucket.Add(over)
+	}
+}
+
+// borrow asks a minter when the bucket runs low and reports whether an answer
+// may come.
+func (s *Split) borrow(name cove.Team, m *team, now time.Time) bool {
+	q := m.bucket.Quota()
+	short := m.waiting - m.credit
+	if short <= 0 && (q.Rate == 0 || m.bucket.Level() > q.Burst.Scale(int64(low*100), 100)) || now.Before(m.dryUntil) {
+		return false
+	}
+	if now.Before(m.askAt) {
+		return len(m.minters) > 0
 	}
-	m.askAt = now.Add(askEvery)
-	if m.spent >= min(poorAfter, len(lenders)) {
-		m.askAt = now.Add(askPoor)
+	live := make(map[cove.HostID]bool)
+	for _, p := range s.peers.Peers() {
+		live[p.ID] = p.Live
+	}
+	for range m.minters {
+		to := m.minters[m.next%len(m.minters)]
+		if !live[to] {
+			m.next++
+			continue
+		}
+		m.askAt = now.Add(askWait)
+		s.count.Add("split.asked", 1)
+		s.peers.Ask(to, name, (max(0, q.Burst-m.bucket.Level()) + max(0, short)).Tokens())
+		return true
+	}
+	return false
+}
+
+func (s *Split) refuse(name cove.Team, cost float64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := cove.Refuse(http.StatusTooManyRequests, cove.ReasonRate, "team is over its rate")
+	r.RetryAfter = maxRetry
+	if m := s.teams[name]; m != nil {
+		if wait, possible := m.bucket.Wait(rate.Cost(cost)); possible {
+			r.RetryAfter = min(max(wait, minRetry), maxRetry)
+		}
 	}
-	to := lenders[m.next%len(lenders)]
-	m.next++
-	m.spent++
-	want := (q.Burst - m.bucket.Level()).Tokens()
-	s.count.Add("split.asked", 1)
-	s.peers.Ask(to, name, want)
+	return r
 }
 
-// lendKeep is the part of its bucket that a lender keeps.
-const lendKeep = 0.5
+// lendKeep is the part of its bucket that a minter keeps from hosts of other
+// failure domains.
+const lendKeep = 0.4
 
 // Lend takes tokens out of the own bucket for another host and returns how many.
 // They are gone even if the answer gets lost.
-func (s *Split) Lend(name cove.Team, want float64) float64 {
+func (s *Split) Lend(to cove.HostID, name cove.Team, want float64) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.teams[name]
@@ -200,7 +306,10 @@
 		return 0
 	}
 	m.bucket.Advance(s.clock.Now())
-	keep := m.bucket.Quota().Burst.Scale(int64(lendKeep*100), 100)
+	keep := rate.Amount(0)
+	if s.foreign(to) {
+		keep = m.bucket.Quota().Burst.Scale(int64(lendKeep*100), 100)
+	}
 	spare := m.bucket.Level() - keep
 	if spare <= 0 {
 		return 0
@@ -208,19 +317,49 @@
 	return m.bucket.Remove(min(spare, rate.Limit(want))).Tokens()
 }
 
-// Receive adds borrowed tokens. Those above the own burst are lost, so that the
-// sum of what all hosts hold never exceeds the sum of their bursts.
+func (s *Split) foreign(id cove.HostID) bool {
+	for _, p := range s.peers.Peers() {
+		if p.ID == id {
+			return p.Domain != s.self.Domain
+		}
+	}
+	return true
+}
+
+// Receive takes over the answer to a request for tokens; none means that the
+// minter had nothing. Requests that wait get theirs at once. Tokens above the own
+// burst are lost, so that the sum of what all hosts hold never exceeds the sum of
+// their bursts.
 func (s *Split) Receive(name cove.Team, tokens float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.teams[name]
-	if m == nil || !(tokens > 0) {
+	if m == nil {
 		return
 	}
-	m.spent = 0
-	// More can be asked for at once, the same lender first.
-	m.next--
-	m.bucket.Advance(s.clock.Now())
-	m.bucket.Add(rate.Limit(tokens))
-	s.count.Add("split.borrowed", 1)
+	now := s.clock.Now()
+	m.askAt = now
+	if tokens > 0 {
+		m.empty = 0
+		m.bucket.Advance(now)
+		came := rate.Limit(tokens)
+		now := min(came, max(0, m.waiting-m.credit))
+		m.credit += now
+		m.bucket.Add(came - now)
+		s.count.Add("split.borrowed", 1)
+	} else {
+		// Another minter may have some.
+		m.next++
+		if m.empty++; m.empty >= min(dryAfter, len(m.minters)) {
+			m.empty = 0
+			m.dryUntil = now.Add(dryTime)
+		}
+	}
+	close(m.came)
+	m.came = make(chan struct{})
+}
+
+// score ranks the hosts of a failure domain as minters of a team.
+func score(id cove.HostID, name cove.Team) float64 {
+	return place.Score(xxhash.Sum64String(string(name)), xxhash.Sum64String(string(id)), 1)
 }
--- a/internal/ops/site/site.go
+++ b/internal/ops/site/site.go
@@ -61,11 +61,11 @@
 	h.Events = &event.Log{Host: o.Self.ID, Clock: h.Clock, Out: o.Logger}
 	h.Pulse = &pulse.Service{Self: o.Self, Clock: h.Clock, Counters: h.Counters, Events: h.Events}
 	h.Pulse.SetHosts([]pulse.Host{o.Self})
-	h.split = split.New(h.Clock, h.Tables, loans{h}, h.Counters, o.Split)
-	h.Pulse.Watch(h.split.Redivide)
 	h.Pulse.Handle(askTopic, h.lend)
 	h.Pulse.Handle(giveTopic, h.receive)
+	h.Pulse.Watch(func() { h.split.Redivide() })
 	self := cove.Self{ID: o.Self.ID, Incarnation: cove.NewIncarnation(), Region: o.Self.Region, Domain: o.Self.Domain}
+	h.split = split.New(self, h.Clock, h.Tables, loans{h}, h.Counters, o.Split)
 	admit := steer.New(self, h.Clock, h.Tables, h.Pulse, h.Counters, h.Events, o.Steer)
 	h.proxy = proxy.New(proxy.Deps{
 		Self: self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, always{h.Clock}), Limiter: h.split,
@@ -156,11 +156,15 @@
 // loans sends requests for tokens.
 type loans struct{ h *Host }
 
-// Hosts implements split.Peers.
-func (l loans) Hosts() int { return l.h.Pulse.Hosts() }
-
-// Lenders implements split.Peers.
-func (l loans) Lenders() []cove.HostID { return l.h.Pulse.Lenders() }
+// Peers implements split.Peers.
+func (l loans) Peers() []split.Peer {
+	hosts := l.h.Pulse.All()
+	out := make([]split.Peer, len(hosts))
+	for i, p := range hosts {
+		out[i] = split.Peer{ID: p.ID, Region: p.Region, Domain: p.Domain, Live: l.h.Pulse.Live(p.ID)}
+	}
+	return out
+}
 
 // Ask implements split.Peers.
 func (l loans) Ask(to cove.HostID, team cove.Team, tokens float64) {
@@ -173,9 +177,7 @@
 		h.Counters.Add("split.unreadable", 1)
 		return
 	}
-	if given := h.split.Lend(m.Team, m.Tokens); given > 0 {
-		h.Pulse.Send(from, giveTopic, loan{m.Team, given})
-	}
+	h.Pulse.Send(from, giveTopic, loan{m.Team, h.split.Lend(from, m.Team, m.Tokens)})
 }
 
 func (h *Host) receive(_ cove.HostID, body json.RawMessage) {
