--- a/internal/limit/split/divide.go
+++ b/internal/limit/split/divide.go
@@ -27,9 +27,6 @@
 	// fewer hosts of the failure domain mint, so that tokens are not spread so
 	// thin that none has a whole one.
 	mintRate = 4.0
-	// holdMost is the number of borrowed tokens that a host which does not mint
-	// may hold; it counts against the bound.
-	holdMost = 1.0
 )
 
 // part is the share of one host.
@@ -39,7 +36,9 @@
 }
 
 // divide returns the share of the host self. With buckets of depth seconds, a
-// window of W seconds passes at most rate × (W + depth) and what all hosts hold.
+// window of W seconds passes at most rate × (W + depth). A host that does not mint
+// holds no tokens: it borrows for requests that wait, and what all such hosts
+// could hold would be missing from the rate of a small team.
 func (b Bound) divide(row cove.TeamRow, peers []Peer, self cove.HostID) part {
 	byDomain := make(map[cove.Domain][]cove.HostID)
 	for _, p := range peers {
@@ -51,9 +50,8 @@
 	if len(byDomain) == 0 {
 		return p
 	}
-	// Without holders the rate would be this; it decides how many hosts mint.
 	domainRate := total / (w + depth) / float64(len(byDomain))
-	holders, minters := 0, make(map[cove.Domain]int)
+	minters := make(map[cove.Domain]int)
 	for d, ids := range byDomain {
 		n := max(1, min(len(ids), int(domainRate/mintRate)))
 		slices.SortFunc(ids, func(x, y cove.HostID) int { return cmp.Compare(score(y, row.Name), score(x, row.Name)) })
@@ -61,18 +59,14 @@
 			p.minters[id] = true
 		}
 		minters[d] = n
-		holders += len(ids) - n
 	}
-	total = max(0, total-holdMost*float64(holders))
-	domainRate = total / (w + depth) / float64(len(byDomain))
 	if !p.minters[self] {
-		p.quota = rate.Quota{Burst: rate.Limit(holdMost)}
 		return p
 	}
 	for _, peer := range peers {
 		if peer.ID == self {
 			each := domainRate / float64(minters[peer.Domain])
-			p.quota = rate.Quota{Rate: rate.Limit(each), Burst: rate.Limit(max(each*depth, holdMost))}
+			p.quota = rate.Quota{Rate: rate.Limit(each), Burst: rate.Limit(max(each*depth, 1))}
 		}
 	}
 	return p
