--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -210,7 +210,7 @@
 		t.done(cove.Result{Canceled: true})
 		return &failure{refusal: cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "deadline passed before the request was sent")}
 	}
-	t.done(cove.Result{Err: err})
+	t.done(cove.Result{Err: err, Unreached: true})
 	reason := cove.ReasonServerFailed
 	if t.target.Host != "" {
 		reason = cove.ReasonPeer
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -56,6 +56,7 @@
 	t.srv.load.End()
 	t.srv.answers.End(now, res.Status != 0)
 	t.measure(res)
+	s.warmth(t.p, t.srv, res, now)
 	switch {
 	case res.Misdirected:
 		t.srv.misplaced = true
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -39,6 +39,9 @@
 	next  time.Time
 	// coldUntil is when the server is warm, as far as this host knows.
 	coldUntil time.Time
+	// unreached is set by a connection that could not be opened, until a request
+	// succeeds.
+	unreached bool
 }
 
 // patience is how long a server may leave all requests of this host without an
@@ -54,6 +57,22 @@
 	patienceFactor = 3
 )
 
+// warmth takes a server that could not be reached for one that has started again
+// and is cold. It may have kept its id, and its entry follows some time later.
+func (s *Steer) warmth(p *pool, srv *server, res cove.Result, now time.Time) {
+	back := srv.unreached && res.Status != 0
+	if !res.Unreached && !back {
+		return
+	}
+	srv.unreached = res.Unreached
+	until := now.Add(time.Duration(p.row.ColdStart))
+	if p.row.ColdRate <= 0 || !until.After(srv.coldUntil) {
+		return
+	}
+	srv.coldUntil = until
+	s.assignCold(p, srv, s.hosts.Registered())
+}
+
 // mayTake reports whether the bound on cold servers allows a request.
 func (s *server) mayTake(now time.Time) bool {
 	if !now.Before(s.coldUntil) {
--- /dev/null
+++ b/internal/route/steer/steer_test.go
@@ -0,0 +1,246 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/event"
+	"turmericcove.org/cove/internal/core/meter"
+	"turmericcove.org/cove/internal/state/live"
+)
+
+type register []cove.HostID
+
+func (r register) Registered() []cove.HostID { return r }
+
+const testPool = cove.PoolName("pool")
+
+// fleet is a set of hosts that send to the same servers.
+type fleet struct {
+	clock *clock.Manual
+	hosts []*Steer
+	table *cove.Table
+	live  *live.Tables
+}
+
+func newFleet(hosts, servers int) *fleet {
+	f := &fleet{clock: &clock.Manual{}, live: new(live.Tables)}
+	f.table = &cove.Table{
+		Version: 1,
+		Domains: []cove.DomainRow{{Name: "east-a", Region: "east"}, {Name: "west-a", Region: "west"}},
+		Pools:   []cove.Pool{{Name: testPool, ColdStart: cove.Duration(3 * time.Second), ColdRate: 8}},
+	}
+	for i := range servers {
+		row := cove.Server{
+			ID: cove.ServerID(fmt.Sprint("s", i)), Slots: 5, Domain: "east-a", Region: "east",
+			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(8000+i)),
+		}
+		if i%2 == 1 {
+			row.Domain, row.Region = "west-a", "west"
+		}
+		f.table.Pools[0].Servers = append(f.table.Pools[0].Servers, row)
+	}
+	f.live.Publish(f.table)
+	var ids register
+	for i := range hosts {
+		ids = append(ids, cove.HostID(fmt.Sprint("h", i)))
+	}
+	for _, id := range ids {
+		self := cove.Self{ID: id, Domain: "east-a", Region: "east"}
+		log := &event.Log{Host: id, Clock: f.clock, Out: logr.Discard()}
+		f.hosts = append(f.hosts, New(self, f.clock, f.live, ids, new(meter.Meter), log, Settings{ColdOver: 1.5, ColdSlack: 5}))
+	}
+	return f
+}
+
+func (f *fleet) change(fn func(t *cove.Table)) {
+	next := *f.table
+	next.Version++
+	next.Domains = append([]cove.DomainRow(nil), next.Domains...)
+	next.Pools = append([]cove.Pool(nil), next.Pools...)
+	next.Pools[0].Servers = append([]cove.Server(nil), next.Pools[0].Servers...)
+	fn(&next)
+	f.table = &next
+	f.live.Publish(f.table)
+}
+
+func (f *fleet) admit(host int, object uint64, ex cove.Exclude) (cove.Permit, error) {
+	now := f.clock.Now()
+	work := cove.WorkClass{ID: fmt.Sprint(object), Route: "r", Object: object, Started: now, Deadline: now.Add(time.Second), Goal: 500 * time.Millisecond}
+	return f.hosts[host].Admit(context.Background(), []cove.PoolWeight{{Pool: testPool, Weight: 1}}, work, ex)
+}
+
+var good = cove.Result{Status: 200, Latency: 20 * time.Millisecond, Load: cove.LoadReport{Running: 1, Slots: 5}}
+
+// Guards against hosts that disagree on the server of an object, which would
+// keep the object warm nowhere.
+func TestHostsAgree(t *testing.T) {
+	f := newFleet(3, 8)
+	for object := uint64(1); object < 200; object++ {
+		var ids [3]cove.ServerID
+		for h := range f.hosts {
+			p, err := f.admit(h, object, cove.Exclude{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ids[h] = p.Target().Server
+			p.Done(good)
+		}
+		if ids[0] != ids[1] || ids[1] != ids[2] {
+			t.Fatalf("object %d goes to %v", object, ids)
+		}
+	}
+}
+
+// Guards against requests to servers that are leaving, in an evacuated failure
+// domain, outside the homes, tried before, or at an address that another server
+// has now.
+func TestServersThatMayNotBeUsed(t *testing.T) {
+	f := newFleet(1, 4)
+	f.change(func(t *cove.Table) {
+		t.Domains[1].Evacuated = true
+		t.Pools[0].Servers[0].Draining = true
+	})
+	for object := uint64(1); object < 50; object++ {
+		p, err := f.admit(0, object, cove.Exclude{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Target().Server != "s2" {
+			t.Fatalf("object %d goes to %s", object, p.Target().Server)
+		}
+		p.Done(good)
+	}
+	var ref *cove.Refusal
+	if _, err := f.admit(0, 1, cove.Exclude{Servers: []cove.ServerID{"s2"}}); !errors.As(err, &ref) || ref.Outcome != cove.NotRun || ref.RetryAfter <= 0 {
+		t.Errorf("without a server left: %v", err)
+	}
+	p, err := f.admit(0, 1, cove.Exclude{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Done(cove.Result{Status: 421, Shed: true, Misdirected: true})
+	if _, err := f.admit(0, 1, cove.Exclude{}); err == nil {
+		t.Error("a server whose address another one has is used again")
+	}
+	// A new row of the tables is believed.
+	f.change(func(t *cove.Table) { t.Pools[0].Servers[2].Addr = netip.MustParseAddrPort("127.0.0.1:9000") })
+	if _, err := f.admit(0, 1, cove.Exclude{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against work that leaves its home regions.
+func TestHomes(t *testing.T) {
+	f := newFleet(1, 6)
+	for object := uint64(1); object < 50; object++ {
+		now := f.clock.Now()
+		work := cove.WorkClass{Route: "r", Object: object, Deadline: now.Add(time.Second), Homes: []cove.Region{"west"}}
+		p, err := f.hosts[0].Admit(context.Background(), []cove.PoolWeight{{Pool: testPool, Weight: 1}}, work, cove.Exclude{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Target().Domain != "west-a" {
+			t.Fatalf("request goes to %s", p.Target().Domain)
+		}
+		p.Done(good)
+	}
+}
+
+// most is the largest number of requests in any second.
+func most(sent []time.Time) int {
+	first, out := 0, 0
+	for i, at := range sent {
+		for at.Sub(sent[first]) >= time.Second {
+			first++
+		}
+		out = max(out, i-first+1)
+	}
+	return out
+}
+
+// Guards against a cold server that gets the requests of all hosts at once: the
+// bound of 8 × 1.5 + 5 in a second holds over all hosts, whether the tables tell
+// that it is cold or it could not be reached a moment ago.
+func TestColdServerKeepsTheBound(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cold func(f *fleet)
+	}{
+		{"tables", func(f *fleet) {
+			f.change(func(t *cove.Table) { t.Pools[0].Servers[0].ColdUntil = f.clock.Now().Add(3 * time.Second) })
+		}},
+		{"unreached", func(f *fleet) {
+			for h := range f.hosts {
+				for object := uint64(1); ; object++ {
+					p, err := f.admit(h, object, cove.Exclude{})
+					if err != nil {
+						return
+					}
+					if p.Target().Server == "s0" {
+						p.Done(cove.Result{Err: errors.New("refused"), Unreached: true})
+						break
+					}
+					p.Done(good)
+				}
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(11, 4)
+			c.cold(f)
+			var sent []time.Time
+			end := f.clock.Now().Add(3 * time.Second)
+			for object := uint64(1); f.clock.Now().Before(end); object++ {
+				f.clock.Advance(2 * time.Millisecond)
+				p, err := f.admit(int(object)%len(f.hosts), object, cove.Exclude{})
+				if err != nil {
+					continue
+				}
+				if p.Target().Server == "s0" {
+					sent = append(sent, f.clock.Now())
+				}
+				p.Done(good)
+			}
+			if n := most(sent); n > 17 {
+				t.Errorf("%d requests in a second, bound 17", n)
+			}
+			if len(sent) == 0 {
+				t.Error("the cold server got nothing at all")
+			}
+		})
+	}
+}
+
+// Guards against a server that crashed without a word and keeps taking requests
+// until each of them reaches its limit.
+func TestSilentServerIsLeft(t *testing.T) {
+	f := newFleet(1, 4)
+	taken := 0
+	for object := uint64(1); object <= 400; object++ {
+		f.clock.Advance(5 * time.Millisecond)
+		p, err := f.admit(0, object, cove.Exclude{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Target().Server == "s0" {
+			// It never answers.
+			taken++
+			continue
+		}
+		p.Done(good)
+	}
+	// About 100 objects belong to it. It gets those of the time until the silence
+	// shows, 400 ms or 20 objects, and a probe each half second.
+	if taken > 30 {
+		t.Errorf("the silent server got %d requests in 2 s", taken)
+	}
+}
--- a/request.go
+++ b/request.go
@@ -98,6 +98,8 @@
 	// Canceled means that the caller gave up; it says nothing of the server.
 	Canceled bool
 	Bytes    int64
+	// Unreached means that no connection could be opened.
+	Unreached bool
 	// Misdirected means that another backend server has the address now.
 	Misdirected bool
 	// Load is what the backend server reported with its answer.
