Make the test of a silent server fail without its mechanism

Cause: at 200 requests/s the bound on a full server hid the bound on a silent one, so the test passed without place.Answers.Stalled. At 50/s it fails.

--- a/internal/route/steer/steer_test.go
+++ b/internal/route/steer/steer_test.go
@@ -225,8 +225,8 @@
 func TestSilentServerIsLeft(t *testing.T) {
 	f := newFleet(1, 4)
 	taken := 0
-	for object := uint64(1); object <= 400; object++ {
-		f.clock.Advance(5 * time.Millisecond)
+	for object := uint64(1); object <= 150; object++ {
+		f.clock.Advance(20 * time.Millisecond)
 		p, err := f.admit(0, object, cove.Exclude{})
 		if err != nil {
 			t.Fatal(err)
@@ -238,9 +238,9 @@
 		}
 		p.Done(good)
 	}
-	// About 100 objects belong to it. It gets those of the time until the silence
-	// shows, 400 ms or 20 objects, and a probe each half second.
-	if taken > 30 {
-		t.Errorf("the silent server got %d requests in 2 s", taken)
+	// A quarter of the objects belong to it: 5 of the 20 in the 400 ms until the
+	// silence shows, with a few more by chance, and a probe each half second of 3 s.
+	if taken > 8+6 {
+		t.Errorf("the silent server got %d requests in 3 s", taken)
 	}
 }
