Log what was decided about requests, and serve the counters

Cause: on-call engineers have only logs and metrics, and the host logged changes of state alone.

Change: one line for each logged request with its id, team, route, version of the tables and every decision with its inputs and their age. Counters are served at the metrics address of the deploy file.

--- a/internal/ops/cli/serve.go
+++ b/internal/ops/cli/serve.go
@@ -55,10 +55,12 @@
 }
 
 // entryCmd takes its settings from the platform.
-type entryCmd struct{}
+type entryCmd struct {
+	MetricsPort uint16 `help:"Port on which the counters are served, at /metrics; 0 serves none."`
+}
 
 func (c *entryCmd) Run(e *env) error {
-	return platform.Serve(e.ctx, e.out)
+	return platform.Serve(e.ctx, e.out, c.MetricsPort)
 }
 
 type certCmd struct {
--- a/internal/ops/site/site.go
+++ b/internal/ops/site/site.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"maps"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/audit"
 	"turmericcove.org/cove/internal/core/clock"
 	"turmericcove.org/cove/internal/core/event"
 	"turmericcove.org/cove/internal/core/group"
@@ -31,9 +34,13 @@
 type Options struct {
 	Self   pulse.Host
 	Logger logr.Logger
-	Proxy  proxy.Config
-	Steer  steer.Settings
-	Split  split.Bound
+	// Out gets a line for each request that is logged; nil logs none.
+	Out io.Writer
+	// Metrics is where the counters are served; an invalid address serves none.
+	Metrics netip.AddrPort
+	Proxy   proxy.Config
+	Steer   steer.Settings
+	Split   split.Bound
 }
 
 // Host is an entry host.
@@ -66,12 +73,19 @@
 	h.Pulse.Watch(func() { h.split.Redivide() })
 	self := cove.Self{ID: o.Self.ID, Incarnation: cove.NewIncarnation(), Region: o.Self.Region, Domain: o.Self.Domain}
 	h.split = split.New(self, h.Clock, h.Tables, loans{h}, h.Counters, o.Split)
+	services := []cove.Service{h.Pulse, &metrics{addr: o.Metrics, meter: h.Counters, events: h.Events}}
 	admit := steer.New(self, h.Clock, h.Tables, h.Pulse, h.Counters, h.Events, o.Steer)
+	var log *audit.Log
+	if o.Out != nil {
+		log = &audit.Log{Out: o.Out, Host: o.Self.ID, Clock: h.Clock, Counters: h.Counters}
+		services = append(services, log)
+	}
 	h.proxy = proxy.New(proxy.Deps{
-		Self: self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, always{h.Clock}), Limiter: h.split,
+		Audit: log,
+		Self:  self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, always{h.Clock}), Limiter: h.split,
 		Admitter: admit, Counters: h.Counters, Events: h.Events, Clock: h.Clock,
 	}, o.Proxy)
-	for _, s := range []cove.Service{h.Pulse, h.proxy} {
+	for _, s := range append(services, h.proxy) {
 		if err := h.kernel.Add(s); err != nil {
 			// Only two services of the same name can fail here.
 			panic(err)
--- a/internal/route/place/load.go
+++ b/internal/route/place/load.go
@@ -37,6 +37,14 @@
 	l.at = now
 }
 
+// Age returns the age of the last report, 0 when there is none.
+func (l *Load) Age(now time.Time) time.Duration {
+	if l.at.IsZero() {
+		return 0
+	}
+	return now.Sub(l.at)
+}
+
 // Expect returns the expected number of requests.
 func (l *Load) Expect(now time.Time) float64 {
 	if l.at.IsZero() {
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -99,6 +99,7 @@
 		return false
 	}
 	p.Counters.Add(retryCounter(f.retry), 1)
+	p.noteRetry(x, f)
 	if f.avoid != nil {
 		x.avoid(*f.avoid)
 	}
@@ -129,6 +130,7 @@
 	}
 	t := &attempt{p: p, x: x, ctx: ctx, permit: permit, target: permit.Target(), begun: p.Clock.Now()}
 	x.bind(t.target.Pool)
+	p.notePlaced(x, t)
 	if x.tries == 1 {
 		p.budget.For(x.pool()).Earn()
 	}
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/audit"
 )
 
 // exchange is one request of a caller, or of another entry host, on its way.
@@ -50,6 +51,8 @@
 	tries int
 	// mayHaveRun is set when an attempt ended without proof that nothing ran.
 	mayHaveRun atomic.Bool
+	// steps are the decisions about the request, for the audit.
+	steps []audit.Step
 	// single marks a request of another host, which gets one attempt here.
 	single bool
 	// owned marks a keyed request that another host has sent to its owner.
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/audit"
 	"turmericcove.org/cove/internal/core/group"
 	"turmericcove.org/cove/internal/route/match"
 	"turmericcove.org/cove/internal/route/retry"
@@ -34,6 +35,8 @@
 	Counters cove.Counters
 	Events   cove.Events
 	Clock    cove.Clock
+	// Audit logs what was decided about requests; nil logs nothing.
+	Audit *audit.Log
 }
 
 // Proxy serves callers and the requests that other entry hosts forward.
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -91,6 +91,8 @@
 		p.fail(x, err)
 		return
 	}
+	// Delivering may end in a panic that aborts the connection.
+	p.noteEnd(x, a.resp.StatusCode, nil)
 	p.deliver(x, a)
 }
 
@@ -99,6 +101,7 @@
 // empty 200 when nothing is written.
 func (p *Proxy) fail(x *exchange, err error) {
 	ref := x.finalRefusal(asRefusal(err))
+	p.noteEnd(x, ref.Status, ref)
 	x.closeIfUnread()
 	if x.r.Context().Err() != nil {
 		p.Counters.Add(counterCanceled, 1)
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -23,7 +23,7 @@
 	done  bool
 }
 
-func (s *Steer) begin(p *pool, srv *server, work *cove.WorkClass, w *place.Work, first bool, now time.Time) *permit {
+func (s *Steer) begin(p *pool, srv *server, w *place.Work, first bool, now time.Time) *permit {
 	free := srv.load.Expect(now) < float64(srv.row.Slots)
 	srv.load.Begin()
 	srv.judged.Begin()
--- a/internal/route/steer/steer.go
+++ b/internal/route/steer/steer.go
@@ -134,7 +134,12 @@
 	case place.NoRoom:
 		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", spread(work.ID, c.Wait))
 	}
-	return s.begin(p, order[c.Index], &work, w, c.Index == 0, now), nil
+	t := s.begin(p, order[c.Index], w, c.Index == 0, now)
+	t.target.Basis = cove.Basis{
+		Verdict: string(c.Verdict), Load: s.cands[c.Index].Load,
+		LoadAge: order[c.Index].load.Age(now), Finish: s.cands[c.Index].Finish(),
+	}
+	return t, nil
 }
 
 // probeEvery is how often a request is sent although it is expected to be late.
--- a/request.go
+++ b/request.go
@@ -73,6 +73,18 @@
 	Host   HostID
 	Domain Domain
 	Moved  bool
+	// Basis is what the choice rests on, for logs.
+	Basis Basis
+}
+
+// Basis is what a choice of a backend server rests on.
+type Basis struct {
+	Verdict string
+	// Load is the expected load, from a report of age LoadAge.
+	Load    float64
+	LoadAge time.Duration
+	// Finish is the expected time until the answer.
+	Finish time.Duration
 }
 
 // Permit is the right to run one attempt at a target. Done must be called
