--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -31,8 +31,8 @@
 func (l *Log) Emit(kind, cause string, fields ...cove.Field) {
 	ev := cove.Event{Time: l.Clock.Now(), Host: l.Host, Kind: kind, Cause: cause, Fields: fields}
 	l.append(ev)
-	kv := make([]any, 0, 2*len(fields)+2)
-	kv = append(kv, "cause", cause)
+	kv := make([]any, 0, 2*len(fields)+4)
+	kv = append(kv, "cause", cause, "host", string(l.Host))
 	for _, f := range fields {
 		kv = append(kv, f.Name, f.Value)
 	}
--- a/internal/ops/cli/cli.go
+++ b/internal/ops/cli/cli.go
@@ -47,6 +47,7 @@
 	Status  statusCmd  `cmd:"" help:"Show hosts, versions, shares and pools."`
 	Explain explainCmd `cmd:"" help:"Tell why a request goes where it goes."`
 	Events  eventsCmd  `cmd:"" help:"Show changes of state of all hosts, by time."`
+	Story   storyCmd   `cmd:"" help:"Tell what the logs say of one request."`
 
 	Completion completionCmd `cmd:"" help:"Print a completion script for a shell."`
 }
