Treat servers of a domain that comes back from an evacuation as cold

Four of eleven hosts were turned away by the store, did not hear that a failure domain was evacuated and taken back, and sent its servers, cold by then, their usual part.

A server that has become slow gets requests by its own pace.

Ruled out: the owners' part alone (0.5 to 0.25 of the bound changed nothing).

--- a/internal/fleet/pulse/pulse.go
+++ b/internal/fleet/pulse/pulse.go
@@ -225,7 +225,7 @@
 		if !h.live {
 			kind, cause = "host.silent", "no heartbeat for "+liveFor.String()
 		}
-		s.Events.Emit(kind, cause, cove.Field{Name: "host", Value: string(h.ID)})
+		s.Events.Emit(kind, cause, cove.Field{Name: "peer", Value: string(h.ID)})
 	}
 }
 
@@ -277,6 +277,16 @@
 	}
 }
 
+// Spread sends a message to all hosts that get heartbeats.
+func (s *Service) Spread(topic string, body any) {
+	hosts := s.All()
+	for _, h := range hosts {
+		if h.ID != s.Self.ID && (len(hosts) <= fullMesh || h.Region == s.Self.Region) {
+			s.Send(h.ID, topic, body)
+		}
+	}
+}
+
 // Send sends a message to a host. It may get lost.
 func (s *Service) Send(to cove.HostID, topic string, body any) {
 	raw, err := json.Marshal(body)
--- /dev/null
+++ b/internal/route/place/pace.go
@@ -0,0 +1,45 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// Pace is how long a server takes for its requests compared with what was
+// expected. Servers differ in speed, and one that has become slow still answers.
+// The zero value is the usual pace.
+type Pace struct {
+	// ratio is 0 before the first sample.
+	ratio float64
+	at    time.Time
+}
+
+const (
+	// paceWeight is the weight of one request. Five make a change plain.
+	paceWeight = 0.2
+	// paceFade is the time in which a pace returns to the usual one by 1/e when
+	// no request shows it, so that a server that was avoided is tried again.
+	paceFade = 4 * time.Second
+	// minPace and maxPace bound a sample.
+	minPace = 0.5
+	maxPace = 20.0
+)
+
+// Observe records a request that was expected to take want and took got.
+func (p *Pace) Observe(now time.Time, got, want time.Duration) {
+	if want <= 0 {
+		return
+	}
+	sample := min(max(float64(got)/float64(want), minPace), maxPace)
+	old := p.Ratio(now)
+	p.ratio = old + paceWeight*(sample-old)
+	p.at = now
+}
+
+// Ratio returns how many times as long as expected the server takes.
+func (p *Pace) Ratio(now time.Time) float64 {
+	if p.ratio == 0 {
+		return 1
+	}
+	return 1 + (p.ratio-1)*math.Exp(-float64(now.Sub(p.at))/float64(paceFade))
+}
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -20,7 +20,9 @@
 	// the answer is the time in the slot.
 	free  bool
 	begun time.Time
-	done  bool
+	// want is the time that the request was expected to take at the usual pace.
+	want time.Duration
+	done bool
 }
 
 func (s *Steer) begin(p *pool, srv *server, w *place.Work, first bool, now time.Time) *permit {
@@ -98,6 +100,10 @@
 	if d != nil && res.Connect > 0 {
 		d.trip += (res.Connect - d.trip) / tripSamples
 	}
+	if d != nil && (res.Status != 0 && !res.Shed || res.Silent) {
+		// A request without an answer took at least so long.
+		t.srv.pace.Observe(t.s.clock.Now(), res.Latency-res.Connect-d.trip, t.want)
+	}
 	if d == nil || res.Err != nil || res.Canceled || res.Shed || res.Silent || res.Status >= 500 || !t.free {
 		return
 	}
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -29,6 +29,7 @@
 	judged *health.Server
 	// answers tells whether the server still answers.
 	answers place.Answers
+	pace    place.Pace
 	// misplaced is set when another server has answered at the address. It
 	// holds until the tables change the row.
 	misplaced bool
@@ -95,6 +96,7 @@
 			d = &domain{trip: s.firstTrip(row)}
 			s.domains[row.Name] = d
 		}
+		d.returned = d.evacuated && !row.Evacuated
 		d.region, d.evacuated = row.Region, row.Evacuated
 	}
 	for name := range s.domains {
@@ -146,6 +148,11 @@
 		if srv.row.ColdUntil != r.ColdUntil {
 			srv.coldUntil = r.ColdUntil
 		}
+		if d := s.domains[r.Domain]; d != nil && d.returned {
+			// Servers that had nothing to do are cold, and their entries tell so only
+			// with their next heartbeat.
+			srv.coldUntil = later(srv.coldUntil, now.Add(time.Duration(row.ColdStart)))
+		}
 		srv.row = r
 		srv.misplaced = false
 		p.servers[r.ID] = srv
@@ -156,6 +163,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // assignCold decides whether this host may send to a cold server.
 func (s *Steer) assignCold(p *pool, srv *server, hosts []cove.HostID) {
 	if p.row.ColdRate <= 0 {
--- a/internal/route/steer/steer.go
+++ b/internal/route/steer/steer.go
@@ -50,6 +50,8 @@
 type domain struct {
 	region    cove.Region
 	evacuated bool
+	// returned is set by the table that takes an evacuation back.
+	returned bool
 	// trip is the time there and back, as connections were opened.
 	trip time.Duration
 }
@@ -139,6 +141,7 @@
 		Verdict: string(c.Verdict), Load: s.cands[c.Index].Load,
 		LoadAge: order[c.Index].load.Age(now), Finish: s.cands[c.Index].Finish(),
 	}
+	t.want = time.Duration(float64(s.cands[c.Index].Finish()-s.cands[c.Index].Trip) / order[c.Index].pace.Ratio(now))
 	return t, nil
 }
 
@@ -275,12 +278,13 @@
 }
 
 func (s *Steer) candidate(p *pool, srv *server, w *place.Work, first bool, now time.Time) place.Candidate {
+	pace := srv.pace.Ratio(now)
 	return place.Candidate{
 		Slots: srv.row.Slots,
 		Load:  srv.load.Expect(now),
 		Trip:  s.domains[srv.row.Domain].trip,
-		Work:  w.Expect(first),
-		Mean:  p.mean.Expect(true),
+		Work:  time.Duration(pace * float64(w.Expect(first))),
+		Mean:  time.Duration(pace * float64(p.mean.Expect(true))),
 		Guess: !w.Known(),
 	}
 }
--- a/internal/route/steer/steer_test.go
+++ b/internal/route/steer/steer_test.go
@@ -178,6 +178,11 @@
 		{"tables", func(f *fleet) {
 			f.change(func(t *cove.Table) { t.Pools[0].Servers[0].ColdUntil = f.clock.Now().Add(3 * time.Second) })
 		}},
+		{"evacuation taken back", func(f *fleet) {
+			f.change(func(t *cove.Table) { t.Domains[0].Evacuated = true })
+			f.clock.Advance(time.Second)
+			f.change(func(t *cove.Table) { t.Domains[0].Evacuated = false })
+		}},
 		{"unreached", func(f *fleet) {
 			for h := range f.hosts {
 				for object := uint64(1); ; object++ {
