--- a/internal/ops/site/site.go
+++ b/internal/ops/site/site.go
@@ -25,6 +25,7 @@
 	"turmericcove.org/cove/internal/fleet/pulse"
 	"turmericcove.org/cove/internal/limit/split"
 	"turmericcove.org/cove/internal/route/proxy"
+	"turmericcove.org/cove/internal/route/retry"
 	"turmericcove.org/cove/internal/route/steer"
 	"turmericcove.org/cove/internal/state/keys"
 	"turmericcove.org/cove/internal/state/live"
@@ -39,8 +40,10 @@
 	// Metrics is where the counters are served; an invalid address serves none.
 	Metrics netip.AddrPort
 	Proxy   proxy.Config
-	Steer   steer.Settings
-	Split   split.Bound
+	// Retry bounds the repeated sends to a pool over all hosts.
+	Retry retry.Bound
+	Steer steer.Settings
+	Split split.Bound
 }
 
 // Host is an entry host.
@@ -70,7 +73,11 @@
 	h.Pulse.SetHosts([]pulse.Host{o.Self})
 	h.Pulse.Handle(askTopic, h.lend)
 	h.Pulse.Handle(giveTopic, h.receive)
-	h.Pulse.Watch(func() { h.split.Redivide() })
+	h.Pulse.Watch(func() {
+		h.split.Redivide()
+		h.proxy.SetRetryTerms(o.Retry.Terms(len(h.Pulse.Registered())))
+	})
+	o.Proxy.Budget = o.Retry.Terms(1)
 	self := cove.Self{ID: o.Self.ID, Incarnation: cove.NewIncarnation(), Region: o.Self.Region, Domain: o.Self.Domain}
 	h.split = split.New(self, h.Clock, h.Tables, loans{h}, h.Counters, o.Split)
 	services := []cove.Service{h.Pulse, &metrics{addr: o.Metrics, meter: h.Counters, events: h.Events}}
--- a/internal/route/place/cold.go
+++ b/internal/route/place/cold.go
@@ -15,11 +15,9 @@
 }
 
 const (
-	// coldSafety is the part of the bound that the owners use. Hosts that are cut
-	// off from the store do not hear that a server has become cold and send their
-	// usual part, up to a third of 30 requests a second in the hunts; two hosts
-	// may also see different registers, and then twice as many owners send.
-	coldSafety = 0.25
+	// coldSafety keeps the bound while two hosts see different registers and
+	// twice as many owners send.
+	coldSafety = 0.5
 	// coldOwners bounds the number of owners, so that each has a usable part.
 	coldOwners = 4
 	// coldBurst is the number of requests that an owner may send at once. It
--- a/internal/route/place/pace.go
+++ b/internal/route/place/pace.go
@@ -23,6 +23,9 @@
 	// minPace and maxPace bound a sample.
 	minPace = 0.5
 	maxPace = 20.0
+	// slowPace is the ratio from which on a server counts as slow. Smaller
+	// differences come from single requests and would move objects for nothing.
+	slowPace = 2.0
 )
 
 // Observe records a request that was expected to take want and took got.
@@ -31,13 +34,21 @@
 		return
 	}
 	sample := min(max(float64(got)/float64(want), minPace), maxPace)
-	old := p.Ratio(now)
+	old := p.faded(now)
 	p.ratio = old + paceWeight*(sample-old)
 	p.at = now
 }
 
-// Ratio returns how many times as long as expected the server takes.
+// Ratio returns how many times as long as expected the server takes; 1 for a
+// server that is not clearly slow.
 func (p *Pace) Ratio(now time.Time) float64 {
+	if r := p.faded(now); r >= slowPace {
+		return r
+	}
+	return 1
+}
+
+func (p *Pace) faded(now time.Time) float64 {
 	if p.ratio == 0 {
 		return 1
 	}
--- a/internal/route/retry/budget.go
+++ b/internal/route/retry/budget.go
@@ -84,11 +84,20 @@
 // Budgets keeps a budget for each pool, because a platform may bound the extra
 // attempts of each pool apart. The zero value is ready to use.
 type Budgets struct {
-	Terms Terms
 	mu    sync.RWMutex
+	terms Terms
 	m     map[cove.PoolName]*Budget
 }
 
+// SetTerms changes the terms. The budgets start anew under others.
+func (s *Budgets) SetTerms(t Terms) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t != s.terms {
+		s.terms, s.m = t, nil
+	}
+}
+
 // For returns the budget of a pool.
 func (s *Budgets) For(pool cove.PoolName) *Budget {
 	s.mu.RLock()
@@ -103,7 +112,7 @@
 		s.m = make(map[cove.PoolName]*Budget)
 	}
 	if s.m[pool] == nil {
-		s.m[pool] = &Budget{Terms: s.Terms}
+		s.m[pool] = &Budget{Terms: s.terms}
 	}
 	return s.m[pool]
 }
--- a/internal/route/retry/retry_test.go
+++ b/internal/route/retry/retry_test.go
@@ -93,3 +93,33 @@
 		t.Errorf("P95 = %v after old samples should be forgotten", got)
 	}
 }
+
+// Guards against hosts that each keep their own rule and together exceed the
+// bound of the deployment: in any window, with all budgets full at its start, the
+// extra attempts stay below requests × ratio + slack.
+func TestBoundHoldsOverAllHosts(t *testing.T) {
+	b := Bound{Ratio: 0.2, Slack: 56}
+	for _, hosts := range []int{1, 8, 11, 40} {
+		for _, requests := range []int{0, 500, 5000} {
+			extra := 0
+			for range hosts {
+				budget := Budget{Terms: b.Terms(hosts)}
+				for range 10000 {
+					budget.Earn()
+				}
+				for range requests / hosts {
+					budget.Earn()
+					for budget.Spend() {
+						extra++
+					}
+				}
+				for budget.Spend() {
+					extra++
+				}
+			}
+			if most := 0.2*float64(requests) + 56; float64(extra) > most {
+				t.Errorf("%d hosts, %d requests: %d extra attempts, bound %v", hosts, requests, extra, most)
+			}
+		}
+	}
+}
