--- /dev/null
+++ b/internal/core/dialer/dialer_test.go
@@ -0,0 +1,40 @@
+package dialer
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Guards against connections without the option that ends them when the other
+// side has gone silent with data under way.
+func TestUserTimeoutIsSet(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	const unacked = 1700 * time.Millisecond
+	c, err := New(Terms{Connect: time.Second, Probe: time.Second, Probes: 2, Unacked: unacked}).Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got int
+	var gerr error
+	if err := raw.Control(func(fd uintptr) {
+		got, gerr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}); err != nil || gerr != nil {
+		t.Fatal(err, gerr)
+	}
+	if want := int(unacked.Milliseconds()); got != want {
+		t.Errorf("TCP_USER_TIMEOUT = %d ms, want %d", got, want)
+	}
+}
--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"turmericcove.org/cove/internal/core/dialer"
 )
 
 const (
@@ -63,33 +65,12 @@
 	peeked    error
 }
 
-// newDialer returns a dialer that finds silent connections soon.
-func newDialer(timeout time.Duration) *net.Dialer {
+func dial(ctx context.Context, timeout time.Duration, addr netip.AddrPort) (*conn, error) {
 	if timeout == 0 {
 		timeout = dialTimeout
 	}
-	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveCount,
-		},
-		Control: setUserTimeout,
-	}
-}
-
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var serr error
-	err := c.Control(func(fd uintptr) {
-		serr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return serr
-}
-
-func dial(ctx context.Context, timeout time.Duration, addr netip.AddrPort) (*conn, error) {
-	nc, err := newDialer(timeout).DialContext(ctx, "tcp", addr.String())
+	d := dialer.New(dialer.Terms{Connect: timeout, Probe: keepAlive, Probes: keepAliveCount, Unacked: userTimeout})
+	nc, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
