--- a/internal/bench/rig/deploy.go
+++ b/internal/bench/rig/deploy.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"slices"
 	"time"
 
@@ -105,10 +106,21 @@
 	portTries = 100
 )
 
-// freeAddr returns a loopback address whose port was free a moment ago.
+// given holds the ports that freeAddr has returned. Nothing listens on them yet,
+// so that binding them does not show that they are taken.
+var given = struct {
+	sync.Mutex
+	ports map[uint16]bool
+}{ports: make(map[uint16]bool)}
+
+// freeAddr returns a loopback address whose port was free a moment ago. It
+// returns no address twice.
 func freeAddr() (netip.AddrPort, error) {
 	for range portTries {
 		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		if !give(port) {
+			continue
+		}
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 		ln, err := net.Listen("tcp", addr.String())
 		if err != nil {
@@ -121,3 +133,14 @@
 	}
 	return netip.AddrPort{}, errors.New("no free port on loopback")
 }
+
+// give marks a port and reports whether it was not given before.
+func give(port uint16) bool {
+	given.Lock()
+	defer given.Unlock()
+	if given.ports[port] {
+		return false
+	}
+	given.ports[port] = true
+	return true
+}
