--- a/internal/bench/rig/deploy.go
+++ b/internal/bench/rig/deploy.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"sync"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
