--- a/internal/bench/trial/fuzz.go
+++ b/internal/bench/trial/fuzz.go
@@ -113,13 +113,22 @@
 		Load:     fuzzLoad,
 		Duration: cove.Duration(fuzzDuration),
 	}
-	for range 1 + rng.IntN(fuzzMaxFaults) {
-		c.Faults = append(c.Faults, randomFault(rng, c))
+	for n := 1 + rng.IntN(fuzzMaxFaults); len(c.Faults) < n; {
+		// A host that has ended can't end again.
+		if f := randomFault(rng, c); !slices.ContainsFunc(c.Faults, f.endsSameHost) {
+			c.Faults = append(c.Faults, f)
+		}
 	}
 	c.complete()
 	return c
 }
 
+func (f Fault) endsHost() bool { return f.Kind == FaultHostCrash || f.Kind == FaultHostStop }
+
+func (f Fault) endsSameHost(o Fault) bool {
+	return f.endsHost() && o.endsHost() && f.Target == o.Target
+}
+
 func randomFault(rng *rand.Rand, c *Case) Fault {
 	f := Fault{
 		Kind:  fuzzKinds[rng.IntN(len(fuzzKinds))],
