Let one host of a region read the store for the others

Change: hosts of a region agree without a message on the first live host in the order of the register; it holds the reads of changes, the others hold requests at it (internal/fleet/relay).

--- a/internal/bench/trial/fuzz.go
+++ b/internal/bench/trial/fuzz.go
@@ -123,10 +123,10 @@
 	return c
 }
 
-func (f Fault) endsHost() bool { return f.Kind == FaultHostCrash || f.Kind == FaultHostStop }
+func (ft Fault) endsHost() bool { return ft.Kind == FaultHostCrash || ft.Kind == FaultHostStop }
 
-func (f Fault) endsSameHost(o Fault) bool {
-	return f.endsHost() && o.endsHost() && f.Target == o.Target
+func (ft Fault) endsSameHost(o Fault) bool {
+	return ft.endsHost() && o.endsHost() && ft.Target == o.Target
 }
 
 func randomFault(rng *rand.Rand, c *Case) Fault {
--- /dev/null
+++ b/internal/fleet/relay/relay_test.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/meter"
+	"turmericcove.org/cove/internal/fleet/pulse"
+)
+
+// fleet is a register of hosts on loopback, some of which are silent.
+type fleet struct {
+	mu     sync.Mutex
+	hosts  []pulse.Host
+	silent map[cove.HostID]bool
+}
+
+func (f *fleet) All() []pulse.Host { return f.hosts }
+
+func (f *fleet) Live(id cove.HostID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.silent[id]
+}
+
+func (f *fleet) silence(id cove.HostID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[id] = true
+}
+
+type noEvents struct{}
+
+func (noEvents) Emit(string, string, ...cove.Field) {}
+
+// newFleet starts hosts a, b and c of one region and d of another.
+func newFleet(t *testing.T) (*fleet, map[cove.HostID]*Service) {
+	t.Helper()
+	f := &fleet{silent: make(map[cove.HostID]bool)}
+	for i, id := range []cove.HostID{"a", "b", "c", "d"} {
+		region := cove.Region("east")
+		if id == "d" {
+			region = "west"
+		}
+		// Each host has an address of its own on loopback, as hosts have.
+		ip := netip.AddrFrom4([4]byte{127, 0, 7, byte(i + 1)})
+		f.hosts = append(f.hosts, pulse.Host{ID: id, Region: region, Peer: netip.AddrPortFrom(ip, freePort(t, ip))})
+	}
+	out := make(map[cove.HostID]*Service)
+	for _, h := range f.hosts {
+		s := &Service{Self: h, Clock: clock.System{}, Hosts: f, Counters: new(meter.Meter), Events: noEvents{}}
+		if err := s.Start(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			if err := s.Stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+		})
+		out[h.ID] = s
+	}
+	return f, out
+}
+
+func page(whole bool, version uint64, rows ...Row) Page {
+	return Page{Rows: rows, Whole: whole, Version: version}
+}
+
+func row(key string, version uint64) Row { return Row{Key: key, Value: []byte(key), Version: version} }
+
+func soon() time.Time { return time.Now().Add(time.Minute) }
+
+// Guards against a fleet in which each host reads the store, and against hosts
+// that do not agree on who reads for them.
+func TestOneReaderInRegion(t *testing.T) {
+	f, hosts := newFleet(t)
+	f.silence("a")
+	want := map[cove.HostID]cove.HostID{"b": "b", "c": "b", "d": "d"}
+	for id, reader := range want {
+		if got, other := hosts[id].Reader("config"); got.ID != reader || other != (reader != id) {
+			t.Errorf("reader of %s is %s, want %s", id, got.ID, reader)
+		}
+	}
+}
+
+// Guards against rows that are lost, kept after their removal, or told twice on
+// the way to another host.
+func TestRowsArePassedOn(t *testing.T) {
+	f, hosts := newFleet(t)
+	ctx, from := context.Background(), f.hosts[0]
+	a, b := hosts["a"], hosts["b"]
+	a.Keep("servers", page(true, 10, row("x", 3), row("y", 7)), soon())
+	got, err := b.Read(ctx, from, "servers", 0, true)
+	if err != nil || !got.Whole || got.Version != 10 || len(got.Rows) != 2 {
+		t.Fatalf("whole table: %+v, %v", got, err)
+	}
+	a.Keep("servers", page(false, 14, row("z", 12), Row{Key: "x", Version: 14, Removed: true}), soon())
+	got, err = b.Read(ctx, from, "servers", 10, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.SortFunc(got.Rows, func(r, o Row) int { return int(r.Version) - int(o.Version) })
+	if got.Whole || got.Version != 14 || fmt.Sprint(got.Rows) != fmt.Sprint([]Row{row("z", 12), {Key: "x", Version: 14, Removed: true}}) {
+		t.Errorf("changes: %+v", got)
+	}
+}
+
+// Guards against a host that hears of a change only when its request ends.
+func TestChangeEndsWait(t *testing.T) {
+	f, hosts := newFleet(t)
+	a := hosts["a"]
+	a.Keep("config", page(true, 1), soon())
+	time.AfterFunc(100*time.Millisecond, func() { a.Keep("config", page(false, 2, row("v", 2)), soon()) })
+	start := time.Now()
+	got, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", 1, false)
+	if err != nil || len(got.Rows) != 1 {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("heard of the change after %s", took)
+	}
+}
+
+// Guards against a host that follows a reader which has lost the store: the
+// reader says so when its rows stop being fresh, also to a request it holds,
+// and is passed over for a time.
+func TestStaleReaderIsLeft(t *testing.T) {
+	f, hosts := newFleet(t)
+	const fresh = 300 * time.Millisecond
+	hosts["a"].Keep("config", page(true, 1), time.Now().Add(fresh))
+	start := time.Now()
+	if _, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", 1, false); err == nil {
+		t.Fatal("read from a stale host")
+	}
+	if took := time.Since(start); took < fresh/2 || took > 3*fresh {
+		t.Errorf("stale after %s, want about %s", took, fresh)
+	}
+	if got, other := hosts["b"].Reader("config"); other {
+		t.Errorf("still follows %s", got.ID)
+	}
+}
+
+// Guards against hosts that go on waiting although the reader knows that the
+// store turns it away, and against one bad table that costs the others their
+// reader.
+func TestReaderTellsThatItLostTheStore(t *testing.T) {
+	f, hosts := newFleet(t)
+	a, b := hosts["a"], hosts["b"]
+	a.Keep("config", page(true, 1), soon())
+	time.AfterFunc(100*time.Millisecond, func() { a.Stale("config") })
+	start := time.Now()
+	if _, err := b.Read(context.Background(), f.hosts[0], "config", 1, false); err == nil {
+		t.Fatal("read from a stale host")
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("told after %s", took)
+	}
+	if got, _ := b.Reader("servers"); got.ID != "a" {
+		t.Errorf("reads other tables from %s", got.ID)
+	}
+}
+
+// Guards against a host that waits for a reader which has been cut off.
+func TestSilentReaderIsLeft(t *testing.T) {
+	f, hosts := newFleet(t)
+	hosts["a"].Keep("config", page(true, 1), soon())
+	time.AfterFunc(100*time.Millisecond, func() { f.silence("a") })
+	start := time.Now()
+	if _, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", 1, false); err == nil {
+		t.Fatal("read from a silent host")
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("left after %s", took)
+	}
+}
+
+// Guards against changes that are missed by a host that was away while more
+// rows were removed than are kept.
+func TestLongAbsenceGetsWholeTable(t *testing.T) {
+	f, hosts := newFleet(t)
+	a := hosts["a"]
+	a.Keep("servers", page(true, 1, row("x", 1)), soon())
+	for i := range uint64(keptRemovals + 10) {
+		a.Keep("servers", page(false, i+2, Row{Key: fmt.Sprint("gone-", i), Version: i + 2, Removed: true}), soon())
+	}
+	got, err := hosts["b"].Read(context.Background(), f.hosts[0], "servers", 3, false)
+	if err != nil || !got.Whole || len(got.Rows) != 1 {
+		t.Errorf("whole %v with %d rows, %v", got.Whole, len(got.Rows), err)
+	}
+}
+
+// Guards against tables, which hold keys of teams, that are given to strangers.
+func TestStrangersGetNothing(t *testing.T) {
+	f, hosts := newFleet(t)
+	hosts["a"].Keep("config", page(true, 1, row("key", 1)), soon())
+	from := f.hosts[0]
+	// The host that asks is not registered any more.
+	f.hosts = slices.DeleteFunc(slices.Clone(f.hosts), func(h pulse.Host) bool { return h.ID == "b" })
+	if got, err := hosts["b"].Read(context.Background(), from, "config", 0, true); err == nil {
+		t.Errorf("a stranger got %+v", got)
+	}
+}
+
+func freePort(t *testing.T, ip netip.Addr) uint16 {
+	t.Helper()
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String()).Port()
+}
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -24,8 +24,6 @@
 	ID     cove.HostID
 	Region cove.Region
 	Domain cove.Domain
-	// Live tells that the host was heard a moment ago.
-	Live bool
 }
 
 // Peers are the hosts of the register.
@@ -33,6 +31,8 @@
 	// Peers returns all registered hosts in the order of their names, this one
 	// included.
 	Peers() []Peer
+	// Live tells whether a host was heard a moment ago.
+	Live(cove.HostID) bool
 	// Ask sends a request for tokens; the answer comes to Receive. It does not
 	// wait, and the request may get lost.
 	Ask(to cove.HostID, team cove.Team, tokens float64)
@@ -49,6 +49,8 @@
 	mu    sync.Mutex
 	rows  map[cove.Team]cove.TeamRow
 	teams map[cove.Team]*team
+	// near are the hosts of the own failure domain.
+	near map[cove.HostID]bool
 }
 
 // team is the state of one team at this host.
@@ -103,6 +105,12 @@
 func (s *Split) divide() {
 	now := s.clock.Now()
 	peers := s.peers.Peers()
+	s.near = make(map[cove.HostID]bool)
+	for _, p := range peers {
+		if p.Domain == s.self.Domain {
+			s.near[p.ID] = true
+		}
+	}
 	for name, row := range s.rows {
 		m := s.teams[name]
 		if m == nil {
@@ -261,13 +269,9 @@
 	if now.Before(m.askAt) {
 		return len(m.minters) > 0
 	}
-	live := make(map[cove.HostID]bool)
-	for _, p := range s.peers.Peers() {
-		live[p.ID] = p.Live
-	}
 	for range m.minters {
 		to := m.minters[m.next%len(m.minters)]
-		if !live[to] {
+		if !s.peers.Live(to) {
 			m.next++
 			continue
 		}
@@ -307,7 +311,7 @@
 	}
 	m.bucket.Advance(s.clock.Now())
 	keep := rate.Amount(0)
-	if s.foreign(to) {
+	if !s.near[to] {
 		keep = m.bucket.Quota().Burst.Scale(int64(lendKeep*100), 100)
 	}
 	spare := m.bucket.Level() - keep
@@ -317,15 +321,6 @@
 	return m.bucket.Remove(min(spare, rate.Limit(want))).Tokens()
 }
 
-func (s *Split) foreign(id cove.HostID) bool {
-	for _, p := range s.peers.Peers() {
-		if p.ID == id {
-			return p.Domain != s.self.Domain
-		}
-	}
-	return true
-}
-
 // Receive takes over the answer to a request for tokens; none means that the
 // minter had nothing. Requests that wait get theirs at once. Tokens above the own
 // burst are lost, so that the sum of what all hosts hold never exceeds the sum of
--- a/internal/limit/split/split_test.go
+++ b/internal/limit/split/split_test.go
@@ -35,6 +35,8 @@
 
 func (p port) Peers() []Peer { return p.f.list }
 
+func (port) Live(cove.HostID) bool { return true }
+
 // Ask delivers the request and the answer in the background, because the asker
 // holds its own lock.
 func (p port) Ask(to cove.HostID, team cove.Team, tokens float64) {
@@ -61,7 +63,7 @@
 		for h := range each {
 			f.list = append(f.list, Peer{
 				ID:     cove.HostID(fmt.Sprintf("h%d-%d", d, h)),
-				Domain: cove.Domain(fmt.Sprint("d", d)), Region: cove.Region(fmt.Sprint("r", d/2)), Live: true,
+				Domain: cove.Domain(fmt.Sprint("d", d)), Region: cove.Region(fmt.Sprint("r", d/2)),
 			})
 		}
 	}
--- a/internal/ops/site/site.go
+++ b/internal/ops/site/site.go
@@ -23,6 +23,7 @@
 	"turmericcove.org/cove/internal/core/kern"
 	"turmericcove.org/cove/internal/core/meter"
 	"turmericcove.org/cove/internal/fleet/pulse"
+	"turmericcove.org/cove/internal/fleet/relay"
 	"turmericcove.org/cove/internal/limit/split"
 	"turmericcove.org/cove/internal/route/proxy"
 	"turmericcove.org/cove/internal/route/retry"
@@ -53,6 +54,7 @@
 	Events   *event.Log
 	Tables   *live.Tables
 	Pulse    *pulse.Service
+	Relay    *relay.Service
 
 	kernel  kern.Kernel
 	proxy   *proxy.Proxy
@@ -70,6 +72,7 @@
 	h := &Host{Clock: clock.System{}, Counters: new(meter.Meter), Tables: new(live.Tables)}
 	h.Events = &event.Log{Host: o.Self.ID, Clock: h.Clock, Out: o.Logger}
 	h.Pulse = &pulse.Service{Self: o.Self, Clock: h.Clock, Counters: h.Counters, Events: h.Events}
+	h.Relay = &relay.Service{Self: o.Self, Clock: h.Clock, Hosts: h.Pulse, Counters: h.Counters, Events: h.Events}
 	h.Pulse.SetHosts([]pulse.Host{o.Self})
 	h.Pulse.Handle(askTopic, h.lend)
 	h.Pulse.Handle(giveTopic, h.receive)
@@ -80,7 +83,7 @@
 	o.Proxy.Budget = o.Retry.Terms(1)
 	self := cove.Self{ID: o.Self.ID, Incarnation: cove.NewIncarnation(), Region: o.Self.Region, Domain: o.Self.Domain}
 	h.split = split.New(self, h.Clock, h.Tables, loans{h}, h.Counters, o.Split)
-	services := []cove.Service{h.Pulse, &metrics{addr: o.Metrics, meter: h.Counters, events: h.Events}}
+	services := []cove.Service{h.Pulse, h.Relay, &metrics{addr: o.Metrics, meter: h.Counters, events: h.Events}}
 	admit := steer.New(self, h.Clock, h.Tables, h.Pulse, h.Counters, h.Events, o.Steer)
 	var log *audit.Log
 	if o.Out != nil {
@@ -182,11 +185,14 @@
 	hosts := l.h.Pulse.All()
 	out := make([]split.Peer, len(hosts))
 	for i, p := range hosts {
-		out[i] = split.Peer{ID: p.ID, Region: p.Region, Domain: p.Domain, Live: l.h.Pulse.Live(p.ID)}
+		out[i] = split.Peer{ID: p.ID, Region: p.Region, Domain: p.Domain}
 	}
 	return out
 }
 
+// Live implements split.Peers.
+func (l loans) Live(id cove.HostID) bool { return l.h.Pulse.Live(id) }
+
 // Ask implements split.Peers.
 func (l loans) Ask(to cove.HostID, team cove.Team, tokens float64) {
 	l.h.Pulse.Send(to, askTopic, loan{team, tokens})
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -87,7 +87,6 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version = t.Version
 	seen := make(map[cove.Domain]bool, len(t.Domains))
 	for _, row := range t.Domains {
 		seen[row.Name] = true
--- a/internal/route/steer/steer.go
+++ b/internal/route/steer/steer.go
@@ -39,7 +39,6 @@
 	cfg    Settings
 
 	mu      sync.Mutex
-	version cove.Version
 	pools   map[cove.PoolName]*pool
 	domains map[cove.Domain]*domain
 	routes  map[cove.RouteName]*route
