--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -17,9 +17,15 @@
 type Meter struct {
 	once sync.Once
 	reg  metrics.Registry
+
+	mu    sync.RWMutex
+	times map[string]*times
 }
 
-var _ cove.Counters = (*Meter)(nil)
+var (
+	_ cove.Counters = (*Meter)(nil)
+	_ cove.Timers   = (*Meter)(nil)
+)
 
 func (m *Meter) registry() metrics.Registry {
 	m.once.Do(func() { m.reg = metrics.NewRegistry() })
@@ -79,6 +85,11 @@
 			ch <- sample(name, prometheus.GaugeValue, x.Value())
 		}
 	})
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, t := range m.times {
+		t.vec.Collect(ch)
+	}
 }
 
 // sample splits "refusal.rateExceeded" into a metric with a label.
--- a/internal/core/meter/meter_test.go
+++ b/internal/core/meter/meter_test.go
@@ -1,7 +1,9 @@
 package meter
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -34,3 +36,30 @@
 		t.Fatalf("refusals = %v, want 3", refusals)
 	}
 }
+
+// Guards against histograms that are missing from a scrape, and against labels
+// whose values grow without bound.
+func TestHistograms(t *testing.T) {
+	var m Meter
+	for i := range 2 * maxValues {
+		m.Observe("requestSeconds", "route", fmt.Sprint("r", i), 20*time.Millisecond)
+	}
+	reg := prometheus.NewRegistry()
+	if err := reg.Register(&m); err != nil {
+		t.Fatal(err)
+	}
+	families, err := reg.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(families) != 1 || families[0].GetName() != "turmericcove_requestSeconds" {
+		t.Fatalf("families = %v", families)
+	}
+	var n uint64
+	for _, s := range families[0].GetMetric() {
+		n += s.GetHistogram().GetSampleCount()
+	}
+	if values := len(families[0].GetMetric()); n != 2*maxValues || values > maxValues+1 {
+		t.Errorf("%d samples in %d histograms", n, values)
+	}
+}
--- a/internal/ops/site/site.go
+++ b/internal/ops/site/site.go
@@ -93,7 +93,7 @@
 		services = append(services, log)
 	}
 	h.proxy = proxy.New(proxy.Deps{
-		Audit: log,
+		Audit: log, Timers: h.Counters,
 		Self:  self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, always{h.Clock}), Limiter: h.split,
 		Admitter: h.steer, Counters: h.Counters, Events: h.Events, Clock: h.Clock,
 	}, o.Proxy)
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -239,6 +239,9 @@
 		res.Latency = t.p.Clock.Now().Sub(t.begun)
 	}
 	t.permit.Done(res)
+	if t.p.Timers != nil {
+		t.p.Timers.Observe("attemptSeconds", "pool", string(t.target.Pool), res.Latency)
+	}
 }
 
 // classify turns what came of an attempt into an answer or a failure.
--- a/internal/route/proxy/audit.go
+++ b/internal/route/proxy/audit.go
@@ -49,6 +49,7 @@
 	case status >= http.StatusInternalServerError:
 		reason, detail = reasonServerError, "the backend server answered "+strconv.Itoa(status)
 	}
+	p.timeEnd(x, reason)
 	if !p.Audit.Wants(x.callerID, reason) {
 		return
 	}
@@ -65,3 +66,31 @@
 	}
 	p.Audit.Put(r)
 }
+
+// valueServed stands for no reason, valueNone for a request without route or
+// team.
+const (
+	valueServed = "served"
+	valueNone   = "none"
+)
+
+// timeEnd keeps how long a request took, by what may explain it.
+func (p *Proxy) timeEnd(x *exchange, reason cove.Reason) {
+	if p.Timers == nil {
+		return
+	}
+	took := p.Clock.Now().Sub(x.started)
+	route, team := valueNone, valueNone
+	if x.route != nil {
+		route = string(x.route.Name)
+	}
+	if x.principal.Team != "" {
+		team = string(x.principal.Team)
+	}
+	if reason == "" {
+		reason = valueServed
+	}
+	p.Timers.Observe("requestSecondsByRoute", "route", route, took)
+	p.Timers.Observe("requestSecondsByTeam", "team", team, took)
+	p.Timers.Observe("requestSecondsByReason", "reason", string(reason), took)
+}
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -35,6 +35,8 @@
 	Counters cove.Counters
 	Events   cove.Events
 	Clock    cove.Clock
+	// Timers keeps how long requests and their parts take; nil keeps nothing.
+	Timers cove.Timers
 	// Audit logs what was decided about requests; nil logs nothing.
 	Audit *audit.Log
 }
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -300,6 +300,12 @@
 	if !x.keyed {
 		return nil
 	}
+	if p.Timers != nil {
+		begun := p.Clock.Now()
+		defer func() {
+			p.Timers.Observe("limitSeconds", "team", string(x.principal.Team), p.Clock.Now().Sub(begun))
+		}()
+	}
 	return notRun(p.Limiter.Take(x.ctx, x.principal.Team, x.work.Cost))
 }
 
--- a/service.go
+++ b/service.go
@@ -40,6 +40,13 @@
 	Gauge(name string, v float64)
 }
 
+// Timers keep histograms of times.
+type Timers interface {
+	// Observe adds d to the histogram of a family for one value of its label.
+	// Families and labels are fixed; values that grow without bound share one.
+	Observe(family, label, value string, d time.Duration)
+}
+
 // Field is a named value of an event.
 type Field struct {
 	Name  string `json:"name"`
