--- a/internal/ops/site/site.go
+++ b/internal/ops/site/site.go
@@ -94,7 +94,7 @@
 	}
 	h.proxy = proxy.New(proxy.Deps{
 		Audit: log, Timers: h.Counters,
-		Self:  self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, always{h.Clock}), Limiter: h.split,
+		Self: self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, always{h.Clock}), Limiter: h.split,
 		Admitter: h.steer, Counters: h.Counters, Events: h.Events, Clock: h.Clock,
 	}, o.Proxy)
 	for _, s := range append(services, h.proxy) {
