--- a/internal/route/steer/book.go
+++ b/internal/route/steer/book.go
@@ -45,7 +45,7 @@
 	object := s.placeKey(work)
 	if at, ok := p.book.Find(object, now); ok {
 		if srv := p.byKey[at.Server]; srv != nil {
-			first(order, srv)
+			toFront(order, srv)
 			return
 		}
 	}
@@ -55,7 +55,7 @@
 	}
 	srv := order[p.book.Choose(s.sites, p.book.Mean(p.slots))]
 	s.notes = append(s.notes, note(p.row.Name, p.book.Put(object, srv.key, now)))
-	first(order, srv)
+	toFront(order, srv)
 }
 
 // placeKey returns the key of an object in the book. Where the trip to another
@@ -67,9 +67,9 @@
 	return work.Object ^ s.regionKey
 }
 
-// first moves a server to the front. One that may not take the request is not in
+// toFront moves a server to the front. One that may not take the request is not in
 // the order.
-func first(order []*server, srv *server) {
+func toFront(order []*server, srv *server) {
 	if i := slices.Index(order, srv); i > 0 {
 		copy(order[1:i+1], order[:i])
 		order[0] = srv
