--- a/internal/bench/server/fault.go
+++ b/internal/bench/server/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -39,6 +40,11 @@
 	// CrossedRefused runs the request and answers with the refusal of another
 	// request.
 	CrossedRefused
+	// EndlessHead runs the request and sends a header that does not end.
+	EndlessHead
+	// EndlessBody runs the request and sends bytes behind its answer that do not
+	// end.
+	EndlessBody
 )
 
 // Faults holds the share of requests that each fault applies to, 0 to 1.
@@ -48,6 +54,7 @@
 	Crossed float64
 	Cut     float64
 	Broken  float64
+	Endless float64
 	// LateBy is the delay of late answers.
 	LateBy time.Duration
 }
@@ -94,6 +101,8 @@
 		return choose(half, Cut, CutChunked)
 	case draw < f.Silent+f.Late+f.Crossed+f.Cut+f.Broken:
 		return Broken
+	case draw < f.Silent+f.Late+f.Crossed+f.Cut+f.Broken+f.Endless:
+		return choose(half, EndlessHead, EndlessBody)
 	}
 	return None
 }
@@ -176,6 +185,12 @@
 		abortHalfway(w, text)
 	case Broken:
 		panic(http.ErrAbortHandler)
+	case EndlessHead:
+		sendWithoutEnd(w, "HTTP/1.1 200 OK\r\nX-Fill: ")
+		return
+	case EndlessBody:
+		sendWithoutEnd(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerRequestID, r.Header.Get(headerRequestID), len(text), text))
+		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	// A write error means that the caller closed the connection.
@@ -188,3 +203,20 @@
 	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
+
+// sendWithoutEnd sends the start of an answer and then bytes until the caller
+// closes the connection.
+func sendWithoutEnd(w http.ResponseWriter, start string) {
+	nc, bw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = nc.Close() }()
+	_, err = bw.WriteString(start)
+	for block := strings.Repeat("x", endlessBlock); err == nil; {
+		_, err = bw.WriteString(block)
+	}
+}
+
+// endlessBlock is the size in bytes of the writes of an endless answer.
+const endlessBlock = 4 << 10
--- a/internal/bench/trial/case.go
+++ b/internal/bench/trial/case.go
@@ -65,31 +65,33 @@
 
 // Kinds of faults.
 const (
-	FaultHostCrash    FaultKind = "hostCrash"
-	FaultHostStop     FaultKind = "hostStop"
-	FaultHostStart    FaultKind = "hostStart"
-	FaultStoreOutage  FaultKind = "storeOutage"
-	FaultStoreLose    FaultKind = "storeLoseAnswers"
-	FaultStoreOlder   FaultKind = "storeOlderReads"
-	FaultStoreDelay   FaultKind = "storeDelay"
-	FaultCutPlatform  FaultKind = "cutPlatform"
-	FaultCutDomains   FaultKind = "cutDomains"
-	FaultDrainServer  FaultKind = "drainServer"
-	FaultServerDrain  FaultKind = "serverDraining"
-	FaultServerCold   FaultKind = "serverCold"
-	FaultServerLying  FaultKind = "serverLying"
-	FaultServerSilent FaultKind = "serverSilent"
-	FaultServerLate   FaultKind = "serverLate"
-	FaultServerCross  FaultKind = "serverCrossed"
-	FaultServerCut    FaultKind = "serverCut"
-	FaultWeights      FaultKind = "weights"
-	FaultKeyWithdraw  FaultKind = "keyWithdraw"
+	FaultHostCrash     FaultKind = "hostCrash"
+	FaultHostStop      FaultKind = "hostStop"
+	FaultHostStart     FaultKind = "hostStart"
+	FaultStoreOutage   FaultKind = "storeOutage"
+	FaultStoreLose     FaultKind = "storeLoseAnswers"
+	FaultStoreOlder    FaultKind = "storeOlderReads"
+	FaultStoreDelay    FaultKind = "storeDelay"
+	FaultCutPlatform   FaultKind = "cutPlatform"
+	FaultCutDomains    FaultKind = "cutDomains"
+	FaultDrainServer   FaultKind = "drainServer"
+	FaultServerDrain   FaultKind = "serverDraining"
+	FaultServerCold    FaultKind = "serverCold"
+	FaultServerLying   FaultKind = "serverLying"
+	FaultServerSilent  FaultKind = "serverSilent"
+	FaultServerLate    FaultKind = "serverLate"
+	FaultServerCross   FaultKind = "serverCrossed"
+	FaultServerCut     FaultKind = "serverCut"
+	FaultServerEndless FaultKind = "serverEndless"
+	FaultWeights       FaultKind = "weights"
+	FaultKeyWithdraw   FaultKind = "keyWithdraw"
 )
 
 var faultKinds = []FaultKind{
 	FaultHostCrash, FaultHostStop, FaultHostStart, FaultStoreOutage, FaultStoreLose, FaultStoreOlder,
 	FaultStoreDelay, FaultCutPlatform, FaultCutDomains, FaultDrainServer, FaultServerDrain, FaultServerCold,
-	FaultServerLying, FaultServerSilent, FaultServerLate, FaultServerCross, FaultServerCut, FaultWeights,
+	FaultServerLying, FaultServerSilent, FaultServerLate, FaultServerCross, FaultServerCut,
+	FaultServerEndless, FaultWeights,
 	FaultKeyWithdraw,
 }
 
--- a/internal/bench/trial/inject.go
+++ b/internal/bench/trial/inject.go
@@ -220,6 +220,8 @@
 		s.SetFaults(server.Faults{Late: f.Share, LateBy: lateBy})
 	case FaultServerCross:
 		s.SetFaults(server.Faults{Crossed: f.Share})
+	case FaultServerEndless:
+		s.SetFaults(server.Faults{Endless: f.Share})
 	case FaultServerCut:
 		s.SetFaults(server.Faults{Cut: f.Share})
 	}
--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -1,6 +1,8 @@
 // Package beacon detects which registered hosts are live by heartbeats over UDP,
 // and carries small messages between hosts. The register of hosts is kept in the
-// platform's store; a heartbeat shows that a host runs and can be reached.
+// platform's store; a heartbeat shows that a host runs and can be reached. The
+// number of messages of a host does not grow with the fleet: in a large one,
+// heartbeats go to a few hosts of the own failure domain and tell of the others.
 package beacon
 
 import (
@@ -8,7 +10,6 @@
 	"encoding/json"
 	"net"
 	"net/netip"
-	"sort"
 	"strconv"
 	"sync"
 	"time"
@@ -20,17 +21,14 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats to each host.
+	// heartbeatInterval is the time between two rounds of heartbeats.
 	heartbeatInterval = 300 * time.Millisecond
-	// heartbeatTimeout is how long a host counts as live after its last
-	// heartbeat. It tolerates the loss of three datagrams in a row, which is rare
-	// on links that lose a few percent.
+	// heartbeatTimeout is how long a host counts as live after its last sign of
+	// life. It tolerates the loss of three datagrams in a row, which is rare on
+	// links that lose a few percent.
 	heartbeatTimeout = 1300 * time.Millisecond
 	// maxDatagramBytes bounds a message, below the usual MTU of 1500 bytes.
 	maxDatagramBytes = 1400
-	// maxFullMesh is the number of hosts up to which all hosts exchange
-	// heartbeats. Hosts of a larger fleet do so only within their region.
-	maxFullMesh = 16
 )
 
 // Host is the entry of a host in the register.
@@ -48,6 +46,10 @@
 	From cove.HostID `json:"from"`
 	// Leaving is set while the sender accepts no new callers.
 	Leaving bool `json:"leaving,omitempty"`
+	// Sightings tells what the sender has seen of the hosts of its failure domain,
+	// Reports what it knows of other ones.
+	Sightings []byte   `json:"seen,omitempty"`
+	Reports   []report `json:"reports,omitempty"`
 	// Topic selects the handler of Body.
 	Topic string          `json:"topic,omitempty"`
 	Body  json.RawMessage `json:"body,omitempty"`
@@ -62,8 +64,8 @@
 	Events   cove.Events
 
 	mu        sync.Mutex
-	hosts     map[cove.HostID]*hostState
-	sortedIDs []cove.HostID
+	view      view
+	ids       []cove.HostID
 	watchers  []func()
 	handlers  map[string]func(from cove.HostID, body json.RawMessage)
 	leaving   bool
@@ -72,13 +74,6 @@
 	tasks     *group.Group
 }
 
-type hostState struct {
-	Host
-	lastHeard time.Time
-	leaving   bool
-	live      bool
-}
-
 // Name implements cove.Service.
 func (s *Service) Name() string { return "pulse" }
 
@@ -124,24 +119,15 @@
 // state.
 func (s *Service) SetHosts(hosts []Host) {
 	s.mu.Lock()
-	next := make(map[cove.HostID]*hostState, len(hosts))
-	same := len(hosts) == len(s.hosts)
-	for _, h := range hosts {
-		st := s.hosts[h.ID]
-		if st == nil || st.Host != h {
-			same = false
-			st = &hostState{Host: h}
+	changed := s.view.setHosts(s.Self, hosts)
+	if changed {
+		s.ids = make([]cove.HostID, len(s.view.sorted))
+		for i, h := range s.view.sorted {
+			s.ids[i] = h.ID
 		}
-		next[h.ID] = st
 	}
-	s.hosts = next
-	s.sortedIDs = s.sortedIDs[:0:0]
-	for id := range next {
-		s.sortedIDs = append(s.sortedIDs, id)
-	}
-	sort.Slice(s.sortedIDs, func(i, j int) bool { return s.sortedIDs[i] < s.sortedIDs[j] })
 	s.mu.Unlock()
-	if same {
+	if !changed {
 		return
 	}
 	s.Events.Emit("register.changed", "store", cove.Field{Name: "hosts", Value: strconv.Itoa(len(hosts))})
@@ -155,7 +141,7 @@
 func (s *Service) Registered() []cove.HostID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sortedIDs
+	return s.ids
 }
 
 // Leave tells the other hosts that this one accepts no new callers.
@@ -184,25 +170,31 @@
 }
 
 func (s *Service) sendHeartbeats() {
+	now := s.Clock.Now()
 	s.mu.Lock()
 	m := message{From: s.Self.ID, Leaving: s.leaving || !s.accepting}
-	var addrs []netip.AddrPort
-	for _, h := range s.hosts {
-		if h.ID != s.Self.ID && (len(s.hosts) <= maxFullMesh || h.Region == s.Self.Region) {
-			addrs = append(addrs, h.Peer)
-		}
-	}
+	beats := s.view.nextHeartbeats(now)
 	s.mu.Unlock()
-	data, err := json.Marshal(&m)
-	if err != nil {
-		s.Events.Emit("pulse.encodeFailed", err.Error())
-		return
-	}
-	for _, addr := range addrs {
-		s.sendDatagram(data, addr)
+	var data []byte
+	for i, b := range beats {
+		if i == 0 || !sameContent(&b, &beats[i-1]) {
+			var err error
+			m.Sightings, m.Reports = b.sightings, b.reports
+			if data, err = json.Marshal(&m); err != nil || len(data) > maxDatagramBytes {
+				s.Counters.Add("pulse.tooLarge", 1)
+				continue
+			}
+		}
+		s.sendDatagram(data, b.to.Peer)
 	}
 }
 
+// sameContent reports whether two heartbeats of a round differ only in their
+// receivers.
+func sameContent(a, b *heartbeat) bool {
+	return cove.SameSlice(a.sightings, b.sightings) && cove.SameSlice(a.reports, b.reports)
+}
+
 func (s *Service) sendDatagram(data []byte, to netip.AddrPort) {
 	if s.conn == nil {
 		return
@@ -213,13 +205,18 @@
 	}
 }
 
-// updateLiveness emits an event for each host that has become live or silent.
+// updateLiveness emits an event for each host that has become live or silent. In
+// a clustered fleet it covers the own failure domain.
 func (s *Service) updateLiveness() {
 	now := s.Clock.Now()
 	s.mu.Lock()
+	watched := s.view.sorted
+	if s.view.topology == clustered {
+		watched = s.view.domainHosts
+	}
 	var changes []*hostState
-	for _, h := range s.hosts {
-		if live := h.alive(now); live != h.live && h.ID != s.Self.ID {
+	for _, h := range watched {
+		if live := s.view.alive(h, now); live != h.live && h.ID != s.Self.ID {
 			h.live = live
 			changes = append(changes, h)
 		}
@@ -234,10 +231,6 @@
 	}
 }
 
-func (h *hostState) alive(now time.Time) bool {
-	return !h.lastHeard.IsZero() && now.Sub(h.lastHeard) < heartbeatTimeout
-}
-
 func (s *Service) receive(ctx context.Context) error {
 	buf := make([]byte, maxDatagramBytes)
 	for {
@@ -265,11 +258,10 @@
 		return
 	}
 	s.mu.Lock()
-	h := s.hosts[m.From]
-	known := h != nil && h.Peer.String() == from.String()
+	h := s.view.hosts[m.From]
+	known := h != nil && sentBy(from, h.Peer)
 	if known {
-		h.lastHeard = s.Clock.Now()
-		h.leaving = m.Leaving
+		s.view.observe(h, &m, s.Clock.Now())
 	}
 	fn := s.handlers[m.Topic]
 	s.mu.Unlock()
@@ -282,13 +274,32 @@
 	}
 }
 
-// Broadcast sends a message to all hosts that get heartbeats from this one.
+// sentBy reports whether a datagram came from the peer port of a host.
+func sentBy(from net.Addr, peer netip.AddrPort) bool {
+	addr, ok := from.(*net.UDPAddr)
+	if !ok {
+		return false
+	}
+	ap := addr.AddrPort()
+	return ap.Port() == peer.Port() && ap.Addr().Unmap() == peer.Addr().Unmap()
+}
+
+// Neighbors returns the hosts to which a message for all hosts is to be sent, and
+// whether they have to pass it on to their own neighbors.
+func (s *Service) Neighbors() (ids []cove.HostID, passOn bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.view.neighbors(s.Clock.Now()) {
+		ids = append(ids, h.ID)
+	}
+	return ids, s.view.topology == clustered
+}
+
+// Broadcast sends a message to the neighbors of this host, without passing it on.
 func (s *Service) Broadcast(topic string, body any) {
-	hosts := s.All()
-	for _, h := range hosts {
-		if h.ID != s.Self.ID && (len(hosts) <= maxFullMesh || h.Region == s.Self.Region) {
-			s.Send(h.ID, topic, body)
-		}
+	ids, _ := s.Neighbors()
+	for _, id := range ids {
+		s.Send(id, topic, body)
 	}
 }
 
@@ -300,7 +311,7 @@
 		return
 	}
 	s.mu.Lock()
-	h := s.hosts[to]
+	h := s.view.hosts[to]
 	m := message{From: s.Self.ID, Leaving: s.leaving || !s.accepting, Topic: topic, Body: raw}
 	s.mu.Unlock()
 	if h == nil {
@@ -314,37 +325,43 @@
 	s.sendDatagram(data, h.Peer)
 }
 
-// Live reports whether a heartbeat of a host has arrived within
-// heartbeatTimeout. This host counts as live whenever it is registered.
+// Live reports whether a host has shown signs of life recently. This host counts
+// as live whenever it is registered.
 func (s *Service) Live(id cove.HostID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.hosts[id]
-	return h != nil && (id == s.Self.ID || h.alive(s.Clock.Now()))
+	h := s.view.hosts[id]
+	return h != nil && s.view.alive(h, s.Clock.Now())
+}
+
+// HasPeerAt reports whether an address belongs to the peer port of a registered
+// host.
+func (s *Service) HasPeerAt(addr netip.Addr) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.addrs[addr.Unmap()]
 }
 
 // All returns the registered hosts in ascending order of their ids.
 func (s *Service) All() []Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]Host, 0, len(s.sortedIDs))
-	for _, id := range s.sortedIDs {
-		out = append(out, s.hosts[id].Host)
+	out := make([]Host, len(s.view.sorted))
+	for i, h := range s.view.sorted {
+		out[i] = h.Host
 	}
 	return out
 }
 
 // NearestAddrs returns at most limit addresses to which callers in a failure
 // domain should connect: its live hosts, else those of its region, else all live
-// hosts. In a fleet without heartbeats between regions, registered hosts of
-// other regions count as live.
+// hosts. In a regionMesh, registered hosts of other regions count as live.
 func (s *Service) NearestAddrs(domain cove.Domain, region cove.Region, limit int) []netip.AddrPort {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var inDomain, inRegion, all []netip.AddrPort
-	for _, id := range s.sortedIDs {
-		h := s.hosts[id]
+	for _, h := range s.view.sorted {
 		if !s.acceptsCallers(h, now) {
 			continue
 		}
@@ -369,8 +386,5 @@
 	if h.ID == s.Self.ID {
 		return s.accepting && !s.leaving
 	}
-	if len(s.hosts) > maxFullMesh && h.Region != s.Self.Region {
-		return true
-	}
-	return h.alive(now) && !h.leaving
+	return s.view.acceptsCallers(h, now)
 }
--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -42,6 +42,7 @@
 	d := dialer.New(dialer.Timeouts{Connect: dialTimeout, KeepAliveInterval: time.Second, KeepAliveCount: 2, UserTimeout: userTimeout})
 	// The reader recognizes this host by its address.
 	d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Self.Peer.Addr(), 0))
+	s.startedAt = s.Clock.Now()
 	s.client.Transport = &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", s.Self.Peer.String())
@@ -91,7 +92,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	data, err := json.Marshal(&p)
+	data, err := s.encode(q.Get("name"), after, &p)
 	if err != nil {
 		s.Events.Emit("relay.encodeFailed", err.Error())
 		w.WriteHeader(http.StatusInternalServerError)
@@ -110,12 +111,7 @@
 	if err != nil {
 		return false
 	}
-	for _, h := range s.Hosts.All() {
-		if h.Peer.Addr().Unmap() == from.Addr().Unmap() {
-			return true
-		}
-	}
-	return false
+	return s.Hosts.HasPeerAt(from.Addr())
 }
 
 // Read reads a table from its reader. A reader that fails is excluded for
@@ -134,7 +130,8 @@
 	// A reader that has become silent would keep the request open until maxHold.
 	watch := group.New(ctx)
 	watch.Go(func(ctx context.Context) error {
-		for s.Hosts.Live(from.ID) {
+		for s.presumedLive(from.ID) {
+			s.follow(name)
 			if err := s.Clock.Sleep(ctx, livenessCheckInterval); err != nil {
 				return nil
 			}
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -31,6 +33,15 @@
 	// behind, about two releases of the largest known pool. A host that is
 	// further behind gets the whole table.
 	maxKeptRemovals = 1024
+	// startupPresumption is the time after the start in which registered hosts
+	// count as live before they were heard of: some rounds of heartbeats.
+	startupPresumption = 1200 * time.Millisecond
+	// followSlack is how long the rows of a host count as fresh after it has seen
+	// its reader live while it waits there for changes.
+	followSlack = livenessCheckInterval + 200*time.Millisecond
+	// staleHold bounds how long a request is held until the rows are fresh. It
+	// covers the start of a reader and its change to another source.
+	staleHold = 700 * time.Millisecond
 )
 
 // Row is a row of a shared table.
@@ -54,6 +65,8 @@
 type Hosts interface {
 	All() []beacon.Host
 	Live(cove.HostID) bool
+	// HasPeerAt reports whether a registered host has its peer port at an address.
+	HasPeerAt(netip.Addr) bool
 }
 
 // Service serves cached rows to other hosts and reads theirs. The zero value is
@@ -67,6 +80,8 @@
 
 	mu     sync.Mutex
 	tables map[string]*table
+	// startedAt is when the service was started.
+	startedAt time.Time
 
 	client http.Client
 	server *http.Server
@@ -83,12 +98,23 @@
 	removalsDroppedTo uint64
 	// freshUntil is when the rows stop being fresh.
 	freshUntil time.Time
-	changed    chan struct{}
-	loaded     bool
+	// storeFailed is set while the last read of the store by this host failed.
+	storeFailed bool
+	changed     chan struct{}
+	loaded      bool
 	// reader is the host last chosen to read the table. suspects are excluded
 	// hosts, with the end of their exclusion.
 	reader   cove.HostID
 	suspects map[cove.HostID]time.Time
+	// encoded is the page that was last sent to another host.
+	encoded encodedPage
+}
+
+// encodedPage is an encoded page. Hosts that are equally far get the same one.
+type encodedPage struct {
+	after, version uint64
+	whole          bool
+	data           []byte
 }
 
 // Name implements cove.Service.
@@ -100,7 +126,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.table(name)
-	t.freshUntil = freshUntil
+	t.freshUntil, t.storeFailed = freshUntil, false
 	if p.Whole {
 		t.rows, t.removed, t.removalsDroppedTo, t.loaded = make(map[string]Row, len(p.Rows)), nil, p.Version, true
 	}
@@ -128,7 +154,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.table(name)
-	t.freshUntil = time.Time{}
+	t.freshUntil, t.storeFailed = time.Time{}, true
 	t.notifyWaiters()
 }
 
@@ -169,13 +195,31 @@
 	return p
 }
 
+// follow extends the freshness of a table while this host waits at its reader for
+// changes and has heard of it lately.
+func (s *Service) follow(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := s.Clock.Now().Add(followSlack); s.table(name).freshUntil.Before(until) {
+		s.table(name).freshUntil = until
+	}
+}
+
+// FollowedUntil returns until when rows that have just come from another host
+// count as fresh.
+func (s *Service) FollowedUntil() time.Time { return s.Clock.Now().Add(followSlack) }
+
 // errStale means that the rows of a host may be outdated.
 var errStale = errors.New("rows are not fresh")
 
 // waitPage returns the page after a version as soon as it holds a row, or after
 // maxHold.
 func (s *Service) waitPage(ctx context.Context, name string, after uint64, whole bool) (Page, error) {
-	end := s.Clock.Now().Add(maxHold)
+	now := s.Clock.Now()
+	end, staleEnd := now.Add(maxHold), now
+	if s.InTree() {
+		staleEnd = now.Add(staleHold)
+	}
 	for {
 		s.mu.Lock()
 		t := s.table(name)
@@ -185,13 +229,17 @@
 		if fresh {
 			p = t.page(after, whole)
 		}
-		changed, until := t.changed, t.freshUntil
+		changed, until, failed := t.changed, t.freshUntil, t.storeFailed
 		s.mu.Unlock()
 		switch {
-		case !fresh:
+		case !fresh && (failed || !now.Before(staleEnd)):
 			return Page{}, errStale
+		case !fresh:
+			until = staleEnd
 		case p.Whole, len(p.Rows) > 0, !now.Before(end):
 			return p, nil
+		default:
+			staleEnd = now
 		}
 		if until.After(end) {
 			until = end
@@ -207,3 +255,21 @@
 		timer.Stop()
 	}
 }
+
+// encode encodes a page that was requested after a version.
+func (s *Service) encode(name string, after uint64, p *Page) ([]byte, error) {
+	s.mu.Lock()
+	e := s.table(name).encoded
+	s.mu.Unlock()
+	if e.data != nil && e.after == after && e.version == p.Version && e.whole == p.Whole {
+		return e.data, nil
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode page")
+	}
+	s.mu.Lock()
+	s.table(name).encoded = encodedPage{after: after, version: p.Version, whole: p.Whole, data: data}
+	s.mu.Unlock()
+	return data, nil
+}
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/clock"
 	"turmericcove.org/cove/internal/core/meter"
@@ -31,6 +33,10 @@
 	return !f.silent[id]
 }
 
+func (f *fleet) HasPeerAt(addr netip.Addr) bool {
+	return slices.ContainsFunc(f.hosts, func(h beacon.Host) bool { return h.Peer.Addr() == addr })
+}
+
 func (f *fleet) setSilent(id cove.HostID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -217,3 +223,64 @@
 	defer func() { _ = ln.Close() }()
 	return netip.MustParseAddrPort(ln.Addr().String()).Port()
 }
+
+// Guards against a reader that serves all hosts of a large region, and against
+// circles of readers: each failure domain has a reader, which reads from that of
+// the region.
+func TestReadersOfLargeRegionFormTree(t *testing.T) {
+	var hosts []beacon.Host
+	for d := range 6 {
+		for h := range 33 {
+			hosts = append(hosts, beacon.Host{
+				ID: cove.HostID(fmt.Sprintf("h%d-%02d", d, h)), Domain: cove.Domain(fmt.Sprint("d", d)), Region: cove.Region(fmt.Sprint("r", d/3)),
+			})
+		}
+	}
+	down := map[cove.HostID]bool{"h0-00": true, "h1-00": true, "h1-01": true}
+	children := make(map[cove.HostID]int)
+	for _, h := range hosts {
+		if down[h.ID] {
+			continue
+		}
+		reader := chooseReader(hosts, h, func(id cove.HostID) bool { return !down[id] })
+		if reader.ID > h.ID {
+			t.Errorf("%s reads from %s, which comes later in the order", h.ID, reader.ID)
+		}
+		if reader.Region != h.Region {
+			t.Errorf("%s reads from %s in another region", h.ID, reader.ID)
+		}
+		if reader.ID != h.ID {
+			children[reader.ID]++
+		}
+	}
+	for id, want := range map[cove.HostID]int{"h0-01": 31 + 2, "h1-02": 30, "h2-00": 32, "h3-00": 32 + 2} {
+		if children[id] != want {
+			t.Errorf("%d hosts read from %s, want %d", children[id], id, want)
+		}
+	}
+}
+
+// Guards against a herd of reads at the store when a reader loses its own source:
+// its hosts wait until it has found another one.
+func TestTreeHoldsReadsWhileReaderRecovers(t *testing.T) {
+	var many []beacon.Host
+	for i := range maxDirectReaders + 1 {
+		ip := netip.AddrFrom4([4]byte{127, 0, 8, byte(i + 1)})
+		many = append(many, beacon.Host{ID: cove.HostID(fmt.Sprintf("h%02d", i)), Region: "east", Domain: "east-a", Peer: netip.AddrPortFrom(ip, 7600)})
+	}
+	f := &fleet{hosts: many, silent: make(map[cove.HostID]bool)}
+	s := &Service{Self: many[0], Clock: clock.System{}, Hosts: f, Counters: new(meter.Meter), Events: noEvents{}}
+	s.Update("t", Page{Whole: true, Version: 1, Rows: []Row{{Key: "k", Version: 1}}}, time.Now().Add(-time.Second))
+	time.AfterFunc(100*time.Millisecond, func() {
+		s.Update("t", Page{Version: 2, Rows: []Row{{Key: "k", Version: 2}}}, time.Now().Add(time.Minute))
+	})
+	p, err := s.waitPage(context.Background(), "t", 1, false)
+	if err != nil || len(p.Rows) != 1 || p.Version != 2 {
+		t.Errorf("page %+v, error %v; want the row of version 2", p, err)
+	}
+	s.MarkStale("t")
+	begun := time.Now()
+	if _, err := s.waitPage(context.Background(), "t", 2, false); !errors.Is(err, errStale) || time.Since(begun) > staleHold/2 {
+		t.Errorf("a reader that cannot reach the store answers %v after %v, want %v at once", err, time.Since(begun), errStale)
+	}
+}
--- a/internal/limit/split/share.go
+++ b/internal/limit/split/share.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/limit/rate"
+	"turmericcove.org/cove/internal/route/place"
 )
 
 // Bound is what the deployment allows all hosts together in each Window:
@@ -29,11 +32,77 @@
 	minIssuerRate = 4.0
 )
 
+// member is a registered host. Its key is hashed once, as it is ranked for each
+// team.
+type member struct {
+	id     cove.HostID
+	domain cove.Domain
+	region cove.Region
+	key    uint64
+}
+
+// group holds the hosts of a failure domain, in the order of their ids.
+type group struct {
+	members []member
+	local   bool
+}
+
+// groupByDomain groups the registered hosts: the failure domain of self first,
+// then those of its region, then all others.
+func groupByDomain(peers []Peer, self cove.Self) []group {
+	byDomain := make(map[cove.Domain]int)
+	var groups []group
+	for _, p := range peers {
+		i, ok := byDomain[p.Domain]
+		if !ok {
+			i = len(groups)
+			byDomain[p.Domain] = i
+			groups = append(groups, group{local: p.Domain == self.Domain})
+		}
+		m := member{id: p.ID, domain: p.Domain, region: p.Region, key: xxhash.Sum64String(string(p.ID))}
+		groups[i].members = append(groups[i].members, m)
+	}
+	distance := func(g group) int {
+		switch {
+		case g.local:
+			return 0
+		case g.members[0].region == self.Region:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(groups, func(a, b group) int { return cmp.Compare(distance(a), distance(b)) })
+	return groups
+}
+
+// issuersOf appends the n hosts of the group that rank highest for a team, in the
+// order of their ids.
+func (g *group) issuersOf(dst []member, team uint64, n int) []member {
+	switch {
+	case n >= len(g.members):
+		return append(dst, g.members...)
+	case n == 1:
+		best := 0
+		for i := range g.members {
+			if place.Rank(team, g.members[i].key) > place.Rank(team, g.members[best].key) {
+				best = i
+			}
+		}
+		return append(dst, g.members[best])
+	}
+	byRank := slices.Clone(g.members)
+	slices.SortFunc(byRank, func(a, b member) int { return cmp.Compare(place.Rank(team, b.key), place.Rank(team, a.key)) })
+	top := byRank[:n]
+	slices.SortFunc(top, func(a, b member) int { return cmp.Compare(a.id, b.id) })
+	return append(dst, top...)
+}
+
 // hostShare is the share of a host in the rate of a team.
 type hostShare struct {
 	quota rate.Quota
-	// issuers holds the issuers of all failure domains.
-	issuers map[cove.HostID]bool
+	// issuers holds the issuers of all failure domains, in the order of the
+	// groups.
+	issuers []member
 }
 
 // shareOf returns the share of the host self. A bucket of bucketSeconds admits at
@@ -41,34 +110,24 @@
 // issuer holds no tokens and borrows only for requests that wait, because the
 // bursts of all such hosts would have to be subtracted from the rate of a small
 // team.
-func (b Bound) shareOf(row cove.TeamRow, peers []Peer, self cove.HostID) hostShare {
-	byDomain := make(map[cove.Domain][]cove.HostID)
-	for _, p := range peers {
-		byDomain[p.Domain] = append(byDomain[p.Domain], p.ID)
+func (b Bound) shareOf(row cove.TeamRow, groups []group, self cove.HostID) hostShare {
+	var share hostShare
+	if len(groups) == 0 {
+		return share
 	}
 	w := b.Window.Seconds()
 	total := ((row.Rate*w+row.Burst)*(1+b.Overshoot) + b.Slack) * usableFraction
-	share := hostShare{issuers: make(map[cove.HostID]bool)}
-	if len(byDomain) == 0 {
-		return share
-	}
-	domainRate := total / (w + bucketSeconds) / float64(len(byDomain))
-	issuerCount := make(map[cove.Domain]int)
-	for d, ids := range byDomain {
-		n := max(1, min(len(ids), int(domainRate/minIssuerRate)))
-		slices.SortFunc(ids, func(x, y cove.HostID) int { return cmp.Compare(score(y, row.Name), score(x, row.Name)) })
-		for _, id := range ids[:n] {
-			share.issuers[id] = true
-		}
-		issuerCount[d] = n
-	}
-	if !share.issuers[self] {
-		return share
-	}
-	for _, peer := range peers {
-		if peer.ID == self {
-			issuerRate := domainRate / float64(issuerCount[peer.Domain])
-			share.quota = rate.Quota{Rate: rate.Floor(issuerRate), Burst: rate.Floor(max(issuerRate*bucketSeconds, 1))}
+	domainRate := total / (w + bucketSeconds) / float64(len(groups))
+	team := xxhash.Sum64String(string(row.Name))
+	for i := range groups {
+		n := max(1, min(len(groups[i].members), int(domainRate/minIssuerRate)))
+		first := len(share.issuers)
+		share.issuers = groups[i].issuersOf(share.issuers, team, n)
+		for _, m := range share.issuers[first:] {
+			if m.id == self {
+				issuerRate := domainRate / float64(n)
+				share.quota = rate.Quota{Rate: rate.Floor(issuerRate), Burst: rate.Floor(max(issuerRate*bucketSeconds, 1))}
+			}
 		}
 	}
 	return share
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -17,7 +17,6 @@
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/limit/rate"
-	"turmericcove.org/cove/internal/route/place"
 )
 
 // Peer is a registered host.
@@ -46,9 +45,11 @@
 	peers    Peers
 	bound    Bound
 
-	mu    sync.Mutex
-	rows  map[cove.Team]cove.TeamRow
-	teams map[cove.Team]*team
+	mu sync.Mutex
+	// source holds the rows of the table last applied.
+	source []cove.TeamRow
+	rows   map[cove.Team]cove.TeamRow
+	teams  map[cove.Team]*team
 	// domainHosts holds the hosts of this host's failure domain.
 	domainHosts map[cove.HostID]bool
 }
@@ -91,6 +92,10 @@
 func (l *Limiter) apply(t *cove.Table) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.rows != nil && cove.SameSlice(l.source, t.Teams) {
+		return
+	}
+	l.source = t.Teams
 	l.rows = make(map[cove.Team]cove.TeamRow, len(t.Teams))
 	for _, row := range t.Teams {
 		l.rows[row.Name] = row
@@ -108,11 +113,13 @@
 // recomputeLocked recomputes the shares of all teams. l.mu must be held.
 func (l *Limiter) recomputeLocked() {
 	now := l.clock.Now()
-	peers := l.peers.Peers()
+	groups := groupByDomain(l.peers.Peers(), l.self)
 	l.domainHosts = make(map[cove.HostID]bool)
-	for _, p := range peers {
-		if p.Domain == l.self.Domain {
-			l.domainHosts[p.ID] = true
+	for i := range groups {
+		for _, m := range groups[i].members {
+			if groups[i].local {
+				l.domainHosts[m.id] = true
+			}
 		}
 	}
 	for name, row := range l.rows {
@@ -122,9 +129,9 @@
 			l.teams[name] = t
 		}
 		t.limited = row.Rate > 0 || row.Burst > 0
-		share := l.bound.shareOf(row, peers, l.self.ID)
+		share := l.bound.shareOf(row, groups, l.self.ID)
 		t.bucket.SetQuota(now, share.quota)
-		t.issuers = orderIssuers(share.issuers, peers, l.self)
+		t.issuers = orderIssuers(share.issuers, l.self)
 		t.exhaustedUntil, t.emptyAnswers = time.Time{}, 0
 	}
 	for name := range l.teams {
@@ -135,26 +142,27 @@
 }
 
 // orderIssuers returns all issuers except self, nearest first.
-func orderIssuers(issuers map[cove.HostID]bool, peers []Peer, self cove.Self) []cove.HostID {
+func orderIssuers(issuers []member, self cove.Self) []cove.HostID {
 	var sameDomain, sameRegion, others []cove.HostID
-	for _, p := range peers {
+	for _, m := range issuers {
 		switch {
-		case !issuers[p.ID] || p.ID == self.ID:
-		case p.Domain == self.Domain:
-			sameDomain = append(sameDomain, p.ID)
-		case p.Region == self.Region:
-			sameRegion = append(sameRegion, p.ID)
+		case m.id == self.ID:
+		case m.domain == self.Domain:
+			sameDomain = append(sameDomain, m.id)
+		case m.region == self.Region:
+			sameRegion = append(sameRegion, m.id)
 		default:
-			others = append(others, p.ID)
+			others = append(others, m.id)
 		}
 	}
 	// Rotate each group by an offset that depends on the host, so that hosts do
 	// not all ask the same issuer first.
-	for _, group := range [][]cove.HostID{sameDomain, sameRegion, others} {
-		if len(group) > 0 {
-			offset := int(xxhash.Sum64String(string(self.ID)) % uint64(len(group)))
-			rotated := append(append([]cove.HostID(nil), group[offset:]...), group[:offset]...)
-			copy(group, rotated)
+	rotation := xxhash.Sum64String(string(self.ID))
+	for _, ids := range [][]cove.HostID{sameDomain, sameRegion, others} {
+		if len(ids) > 0 {
+			offset := int(rotation % uint64(len(ids)))
+			rotated := append(append([]cove.HostID(nil), ids[offset:]...), ids[:offset]...)
+			copy(ids, rotated)
 		}
 	}
 	return append(append(sameDomain, sameRegion...), others...)
@@ -359,9 +367,3 @@
 	close(t.answered)
 	t.answered = make(chan struct{})
 }
-
-// score ranks the hosts of a failure domain. Those with the highest scores are the
-// issuers of a team.
-func score(id cove.HostID, name cove.Team) float64 {
-	return place.Score(xxhash.Sum64String(string(name)), xxhash.Sum64String(string(id)), 1)
-}
--- a/internal/limit/split/split_test.go
+++ b/internal/limit/split/split_test.go
@@ -204,3 +204,50 @@
 		}
 	}
 }
+
+// Guards against work for each pair of team and host that makes a change of the
+// register expensive in a large fleet.
+func BenchmarkRecompute(b *testing.B) {
+	for _, hosts := range []int{10, 78, 295, 590} {
+		b.Run(fmt.Sprint(hosts, "Hosts"), func(b *testing.B) {
+			f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter)}
+			for i := range hosts {
+				f.peers = append(f.peers, Peer{ID: cove.HostID(fmt.Sprintf("h%03d", i)), Domain: cove.Domain(fmt.Sprint("d", i%9)), Region: cove.Region(fmt.Sprint("r", i%3))})
+			}
+			table := &cove.Table{Version: 1}
+			for i := range 190 {
+				table.Teams = append(table.Teams, cove.TeamRow{Name: cove.Team(fmt.Sprint("team", i)), Rate: 20, Burst: 10})
+			}
+			tables := new(active.Tables)
+			tables.Publish(table)
+			p := f.peers[0]
+			l := New(cove.Self{ID: p.ID, Domain: p.Domain, Region: p.Region}, f.clock, tables, fakePeers{f, p.ID}, new(meter.Meter), Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20})
+			for b.Loop() {
+				l.Recompute()
+			}
+		})
+	}
+}
+
+// Guards against recomputing all shares with each change of the backend servers.
+func TestUnchangedTeamsAreNotRecomputed(t *testing.T) {
+	f := newFleet(2, 2, cove.TeamRow{Name: testTeam, Rate: 100, Burst: 10}, Bound{Window: 5 * time.Second})
+	l := f.hosts[f.peers[0].ID]
+	l.mu.Lock()
+	l.teams[testTeam].exhaustedUntil = f.clock.Now().Add(time.Hour)
+	rows := l.source
+	l.mu.Unlock()
+	l.apply(&cove.Table{Version: 1, Teams: rows})
+	l.mu.Lock()
+	kept := !l.teams[testTeam].exhaustedUntil.IsZero()
+	l.mu.Unlock()
+	if !kept {
+		t.Error("a table with the same teams recomputes the shares")
+	}
+	l.apply(&cove.Table{Version: 2, Teams: []cove.TeamRow{{Name: testTeam, Rate: 50, Burst: 10}}})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.teams[testTeam].exhaustedUntil.IsZero() {
+		t.Error("a table with other teams does not recompute the shares")
+	}
+}
--- a/internal/ops/direct/assignments.go
+++ b/internal/ops/direct/assignments.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"turmericcove.org/cove"
@@ -23,26 +24,80 @@
 	maxUpdatesPerMessage = 10
 )
 
-// broadcastAssignments sends new assignments of objects to the other hosts.
-func (h *Host) broadcastAssignments(ctx context.Context) error {
+// spreader collects updates for the neighbors of this host. Updates of this host
+// go to all of them; those of a neighbor are passed on to the others.
+type spreader struct {
+	mu      sync.Mutex
+	pending []pendingUpdate
+}
+
+type pendingUpdate struct {
+	steer.AssignmentUpdate
+	// from is the neighbor that sent the update, or empty.
+	from cove.HostID
+}
+
+func (s *spreader) add(updates []steer.AssignmentUpdate, from cove.HostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range updates {
+		s.pending = append(s.pending, pendingUpdate{u, from})
+	}
+}
+
+func (s *spreader) take() []pendingUpdate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.pending
+	s.pending = nil
+	return out
+}
+
+// updatesFor returns the updates that a neighbor has not sent itself.
+func updatesFor(to cove.HostID, pending []pendingUpdate) []steer.AssignmentUpdate {
+	var out []steer.AssignmentUpdate
+	for i := range pending {
+		if pending[i].from != to {
+			out = append(out, pending[i].AssignmentUpdate)
+		}
+	}
+	return out
+}
+
+// spreadAssignments sends new assignments of objects to the neighbors of this
+// host.
+func (h *Host) spreadAssignments(ctx context.Context) error {
 	for {
 		if err := h.Clock.Sleep(ctx, assignmentInterval); err != nil {
 			return err
 		}
-		for updates := range slices.Chunk(h.steer.DequeueUpdates(), maxUpdatesPerMessage) {
-			h.Beacon.Broadcast(assignmentTopic, updates)
+		h.spreader.add(h.steer.DequeueUpdates(), "")
+		pending := h.spreader.take()
+		if len(pending) == 0 {
+			continue
+		}
+		neighbors, _ := h.Beacon.Neighbors()
+		for _, to := range neighbors {
+			for updates := range slices.Chunk(updatesFor(to, pending), maxUpdatesPerMessage) {
+				h.Beacon.Send(to, assignmentTopic, updates)
+			}
 		}
 	}
 }
 
-// handleAssignments applies updates from another host and sends back corrections.
+// handleAssignments applies updates from another host, sends back corrections,
+// and passes on what was news where that is needed.
 func (h *Host) handleAssignments(from cove.HostID, body json.RawMessage) {
 	var updates []steer.AssignmentUpdate
 	if err := json.Unmarshal(body, &updates); err != nil {
 		h.Counters.Add("steer.noteUnreadable", 1)
 		return
 	}
-	if corrections := h.steer.ApplyUpdates(updates); len(corrections) > 0 {
+	news, corrections := h.steer.ApplyUpdates(updates)
+	if len(corrections) > 0 {
 		h.Beacon.Send(from, assignmentTopic, corrections)
 	}
+	if _, passOn := h.Beacon.Neighbors(); passOn && len(news) > 0 {
+		h.spreader.add(news, from)
+	}
 }
--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -57,12 +57,13 @@
 	Beacon   *beacon.Service
 	Relay    *relay.Service
 
-	runner  runner.Runner
-	proxy   *proxy.Proxy
-	split   *split.Limiter
-	steer   *steer.Balancer
-	tasks   *group.Group
-	leaving atomic.Bool
+	runner   runner.Runner
+	spreader spreader
+	proxy    *proxy.Proxy
+	split    *split.Limiter
+	steer    *steer.Balancer
+	tasks    *group.Group
+	leaving  atomic.Bool
 }
 
 // linger is how long a leaving host keeps serving, so that callers look up
@@ -124,7 +125,7 @@
 	}
 	h.tasks = group.New(context.Background())
 	h.tasks.Go(h.logCounters)
-	h.tasks.Go(h.broadcastAssignments)
+	h.tasks.Go(h.spreadAssignments)
 	return nil
 }
 
--- a/internal/route/place/assignment.go
+++ b/internal/route/place/assignment.go
@@ -95,27 +95,46 @@
 // precedence over one by a host that has restarted.
 const convergenceTime = time.Second
 
-// Merge applies an assignment made by another host. If that assignment is
-// stale, Merge returns the current one, which must be sent to the other host.
-func (t *AssignmentTable) Merge(a Assignment, now time.Time) (current Assignment, stale bool) {
+// MergeResult tells what became of an assignment made by another host.
+type MergeResult uint8
+
+const (
+	// Ignored means that the table has the same assignment or a better one that
+	// the other host will learn of.
+	Ignored MergeResult = iota
+	// Adopted means that the table has changed.
+	Adopted
+	// Stale means that the current assignment takes precedence and must be sent
+	// to the other host.
+	Stale
+)
+
+// Merge applies an assignment made by another host and returns the current one.
+func (t *AssignmentTable) Merge(a Assignment, now time.Time) (Assignment, MergeResult) {
 	a.learned, a.lastUsed = now, now
 	old, ok := t.byObject[a.Object]
 	switch {
 	case !ok:
 		t.set(a, now)
 	case old.Server == a.Server:
-		old.Moves = max(old.Moves, a.Moves)
+		if a.Moves <= old.Moves {
+			return old, Ignored
+		}
+		old.Moves = a.Moves
 		t.byObject[a.Object] = old
+		return old, Adopted
 	case old.Moves > a.Moves:
-		return old, true
+		return old, Stale
 	case old.Moves == a.Moves && now.Sub(old.learned) > convergenceTime:
 		old.Moves++
 		t.byObject[a.Object] = old
-		return old, true
-	case a.Moves > old.Moves || Score(a.Object, a.Server, 1) > Score(a.Object, old.Server, 1):
+		return old, Stale
+	case a.Moves > old.Moves || Rank(a.Object, a.Server) > Rank(a.Object, old.Server):
 		t.set(a, now)
+	default:
+		return old, Ignored
 	}
-	return Assignment{}, false
+	return a, Adopted
 }
 
 // MayMove reports whether the object has been assigned for long enough to move:
--- a/internal/route/place/assignment_test.go
+++ b/internal/route/place/assignment_test.go
@@ -116,11 +116,11 @@
 	for o := range uint64(100) {
 		var old, restarted AssignmentTable
 		old.Assign(o, 1, start)
-		current, stale := old.Merge(restarted.Assign(o, 2, later), later)
-		if !stale || current.Server != 1 {
-			t.Fatalf("object %d: stale = %v, current = %+v", o, stale, current)
+		current, result := old.Merge(restarted.Assign(o, 2, later), later)
+		if result != Stale || current.Server != 1 {
+			t.Fatalf("object %d: result = %v, current = %+v", o, result, current)
 		}
-		if _, again := restarted.Merge(current, later); again {
+		if _, result := restarted.Merge(current, later); result == Stale {
 			t.Fatal("the hosts keep correcting each other")
 		}
 		if p, _ := restarted.Find(o, later); p.Server != 1 {
@@ -142,7 +142,7 @@
 	if p, _ := a.Find(7, now); !p.MayMove(now) {
 		t.Error("an object may not move")
 	}
-	if current, stale := b.Merge(a.Assign(7, 2, now), now); stale {
+	if current, result := b.Merge(a.Assign(7, 2, now), now); result == Stale {
 		t.Errorf("the move is rejected in favor of %+v", current)
 	}
 	if p, _ := b.Find(7, now); p.Server != 2 || p.Moves != 1 {
@@ -150,6 +150,23 @@
 	}
 }
 
+// Guards against updates that circulate among the hosts of a tree: only one that
+// changes the table is news.
+func TestKnownAssignmentIsNoNews(t *testing.T) {
+	now := time.Unix(1, 0)
+	var a, b AssignmentTable
+	update := a.Assign(7, 1, now)
+	if _, result := b.Merge(update, now); result != Adopted {
+		t.Errorf("a new assignment gives %v", result)
+	}
+	if _, result := b.Merge(update, now); result != Ignored {
+		t.Errorf("a repeated assignment gives %v", result)
+	}
+	if _, result := a.Merge(update, now); result != Ignored {
+		t.Errorf("the host's own assignment gives %v", result)
+	}
+}
+
 // Guards against memory that grows with each object that was ever requested.
 func TestUnusedAssignmentsExpire(t *testing.T) {
 	now := time.Unix(1, 0)
--- a/internal/route/place/cold.go
+++ b/internal/route/place/cold.go
@@ -44,3 +44,18 @@
 	}
 	return time.Duration(float64(time.Second) / rate)
 }
+
+// RanksAmong reports whether host is one of the n hosts that rank highest for a
+// server. It is false for a host that is not registered.
+func RanksAmong(n int, server, host uint64, registered []uint64) bool {
+	rank := Rank(server, host)
+	known, higher := false, 0
+	for _, h := range registered {
+		if h == host {
+			known = true
+		} else if Rank(server, h) > rank {
+			higher++
+		}
+	}
+	return known && higher < n
+}
--- a/internal/route/place/ranking.go
+++ b/internal/route/place/ranking.go
@@ -56,10 +56,14 @@
 		return math.Inf(-1)
 	}
 	// 53 bits make all float64 values in (0, 1) equally likely.
-	u := (float64(mix(object^server)>>11) + 0.5) / (1 << 53)
+	u := (float64(Rank(object, server)) + 0.5) / (1 << 53)
 	return -weight / math.Log(u)
 }
 
+// Rank orders servers of equal weight like Score, without the cost of a
+// logarithm.
+func Rank(object, server uint64) uint64 { return mix(object^server) >> 11 }
+
 const (
 	// significantRTTShare is the share of the goal above which the round trip
 	// to another region matters. Below it, one assignment of each object among
@@ -73,11 +77,41 @@
 	localRegionWeight = 1000
 )
 
-// LocalWeight returns the weight of a server in the caller's region, where the
-// others have 1, for requests that should be answered within goal when the
-// round trip to other regions takes rtt.
-func LocalWeight(rtt, goal time.Duration) float64 {
-	if goal > 0 && float64(rtt) > significantRTTShare*float64(goal) {
+// Locality decides whether a kind of request prefers the servers of its own
+// region. A decision that followed each measurement would move most objects of a
+// region to another one, and back, where the round trip is close to the
+// threshold. The zero value is ready to use.
+type Locality struct {
+	decided bool
+	local   bool
+}
+
+const (
+	// localitySamples is the number of round trips on which the first decision is
+	// based.
+	localitySamples = 16
+	// localityBand is the relative distance from the threshold at which a
+	// decision is reversed. It exceeds the jitter of round trips.
+	localityBand = 0.25
+)
+
+// Weight returns the weight of a server in the caller's region, where the others
+// have 1, for requests that should be answered within goal. rtt is the mean
+// round trip to other regions, measured n times.
+func (l *Locality) Weight(rtt time.Duration, n int, goal time.Duration) float64 {
+	share := float64(rtt) / float64(max(goal, 1))
+	switch {
+	case goal <= 0:
+		return 1
+	case !l.decided:
+		l.local = share > significantRTTShare
+		l.decided = n >= localitySamples
+	case share > significantRTTShare*(1+localityBand):
+		l.local = true
+	case share < significantRTTShare*(1-localityBand):
+		l.local = false
+	}
+	if l.local {
 		return localRegionWeight
 	}
 	return 1
--- a/internal/route/place/ranking_test.go
+++ b/internal/route/place/ranking_test.go
@@ -75,15 +75,31 @@
 
 // Guards against preferring local servers where the round trip hardly matters:
 // the burst or loss of one region would then hit few servers.
-func TestLocalWeight(t *testing.T) {
-	if w := LocalWeight(70*time.Millisecond, 250*time.Millisecond); w <= 1 {
+func TestLocalityFollowsRoundTrip(t *testing.T) {
+	if w := new(Locality).Weight(70*time.Millisecond, localitySamples, 250*time.Millisecond); w <= 1 {
 		t.Errorf("a round trip of 70 ms for a goal of 250 ms gives weight %v", w)
 	}
-	if w := LocalWeight(40*time.Millisecond, 400*time.Millisecond); w != 1 {
+	if w := new(Locality).Weight(40*time.Millisecond, localitySamples, 400*time.Millisecond); w != 1 {
 		t.Errorf("a round trip of 40 ms for a goal of 400 ms gives weight %v", w)
 	}
 }
 
+// Guards against moving all objects between regions whenever the measured round
+// trip crosses the threshold.
+func TestLocalityIgnoresJitter(t *testing.T) {
+	const goal = 400 * time.Millisecond
+	var l Locality
+	first := l.Weight(74*time.Millisecond, localitySamples, goal)
+	for _, rtt := range []time.Duration{81, 78, 84, 79, 92, 76, 99} {
+		if w := l.Weight(rtt*time.Millisecond, localitySamples, goal); w != first {
+			t.Errorf("the weight changes from %v to %v at a round trip of %d ms", first, w, rtt)
+		}
+	}
+	if w := l.Weight(140*time.Millisecond, localitySamples, goal); w == first {
+		t.Error("the weight does not follow a lasting change of the round trip")
+	}
+}
+
 // Guards against senders to cold servers that together exceed the limit, also
 // while two halves of the fleet see different versions of the registry.
 func TestColdSendersStayWithinLimit(t *testing.T) {
--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -34,6 +34,8 @@
 	cancel context.CancelFunc
 }
 
+var errAnswerTooLarge = errors.New("response body is too large")
+
 func newAnswer(t *attempt, resp *http.Response) *answer {
 	a := &answer{attempt: t, resp: resp, latency: t.proxy.Clock.Now().Sub(t.started)}
 	switch resp.StatusCode {
@@ -213,6 +215,9 @@
 	for {
 		n, err := a.resp.Body.Read(*buf)
 		a.bytesRead += int64(n)
+		if a.bytesRead > p.cfg.MaxAnswerBytes {
+			p.abortAnswer(x, a, errAnswerTooLarge)
+		}
 		if n > 0 {
 			if _, werr := x.w.Write((*buf)[:n]); werr != nil {
 				p.callerGone(a)
--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -18,6 +18,9 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// MaxAnswerBytes bounds the body of a response. A backend server that sends
+	// more counts as failed.
+	MaxAnswerBytes int64
 	// MaxKeyedBytes bounds the body of a request with an idempotency key, which
 	// is read into memory to compute its digest. It also bounds the responses
 	// that are stored for repeated requests.
@@ -58,6 +61,7 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.MaxHeaderBytes, 32<<10)
 	setDefault(&c.MaxBodyBytes, 64<<20)
+	setDefault(&c.MaxAnswerBytes, 256<<20)
 	setDefault(&c.MaxKeyedBytes, 1<<20)
 	setDefault(&c.MaxKeyedTotal, 64<<20)
 	setDefault(&c.MaxConns, 4096)
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // continueTimeout is how long to wait for 100 Continue before the body is sent
@@ -127,7 +129,7 @@
 			break
 		}
 		u.attempt.proxy.Counters.Add(counterSkippedAnswers, 1)
-		if _, err = io.Copy(io.Discard, resp.Body); err == nil {
+		if err = u.skipBody(resp); err == nil {
 			resp, err = u.conn.readHead(u.attempt.exchange.method, u.onContinue)
 		}
 	}
@@ -143,6 +145,20 @@
 // before the response to the current one.
 const maxSkippedAnswers = 2
 
+// maxSkippedBytes bounds the body of a skipped response.
+const maxSkippedBytes = 256 << 10
+
+var errSkippedTooLarge = errors.New("response to an earlier request is too large")
+
+// skipBody reads the body of a response to an earlier request.
+func (u *directUpstream) skipBody(resp *http.Response) error {
+	if resp.ContentLength > maxSkippedBytes {
+		return errSkippedTooLarge
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
 // stale reports whether resp belongs to an earlier request on the connection and
 // the response to the current one may still follow.
 func (u *directUpstream) stale(resp *http.Response) bool {
--- /dev/null
+++ b/internal/route/proxy/endless_test.go
@@ -0,0 +1,163 @@
+package proxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/bench/server"
+)
+
+// endlessCase is an answer of a backend server that goes on until its connection
+// is closed.
+type endlessCase struct {
+	Name   string `json:"name"`
+	Prefix string `json:"prefix"`
+	// PauseMillis is the pause between the prefix and the first repetition.
+	PauseMillis int    `json:"pauseMillis"`
+	Repeat      string `json:"repeat"`
+	// Status is the status for the caller. Broken means that the caller must see
+	// a failure or a broken answer instead. Streamed marks a valid answer that
+	// reaches the caller up to the limit.
+	Status   int  `json:"status"`
+	Broken   bool `json:"broken"`
+	Streamed bool `json:"streamed"`
+}
+
+// endlessServer sends an endless answer on each connection.
+type endlessServer struct {
+	listener net.Listener
+	// sent counts the bytes that the connections took, closed the connections
+	// that the other side closed.
+	sent   atomic.Int64
+	opened atomic.Int64
+	closed atomic.Int64
+}
+
+const endlessBlock = 8 << 10
+
+func newEndlessServer(t *testing.T, c endlessCase) *endlessServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	s := &endlessServer{listener: ln}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.opened.Add(1)
+			go s.serve(nc.(*net.TCPConn), c)
+		}
+	}()
+	return s
+}
+
+func (s *endlessServer) serve(nc *net.TCPConn, c endlessCase) {
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetWriteBuffer(endlessBlock)
+	if _, err := nc.Read(make([]byte, endlessBlock)); err != nil {
+		return
+	}
+	if _, err := nc.Write([]byte(c.Prefix)); err != nil {
+		return
+	}
+	time.Sleep(time.Duration(c.PauseMillis) * time.Millisecond)
+	block := bytes.Repeat([]byte(c.Repeat), endlessBlock/len(c.Repeat))
+	for {
+		n, err := nc.Write(block)
+		s.sent.Add(int64(n))
+		if err != nil {
+			s.closed.Add(1)
+			return
+		}
+	}
+}
+
+func (s *endlessServer) target(id cove.ServerID) cove.Target {
+	return cove.Target{Server: id, Addr: netip.MustParseAddrPort(s.listener.Addr().String()), Pool: "main", Domain: "se-east-1"}
+}
+
+// Guards against a backend server that never stops sending: it must not hold
+// memory or a connection of the host, and other requests must go on.
+func TestEndlessAnswers(t *testing.T) {
+	data, err := os.ReadFile("testdata/endless.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []endlessCase
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) { checkEndless(t, c) })
+	}
+}
+
+const (
+	// endlessClosedWithin bounds the time until the connection is closed.
+	endlessClosedWithin = 3 * time.Second
+	// endlessBytes bounds what is taken from the server: the header limit and
+	// the buffers of a loopback connection.
+	endlessBytes = 8 << 20
+	// endlessAnswerLimit is the configured limit of answers.
+	endlessAnswerLimit = 1 << 20
+	// endlessMemory bounds the growth of the heap.
+	endlessMemory = 4 << 20
+)
+
+func checkEndless(t *testing.T, c endlessCase) {
+	s := newEndlessServer(t, c)
+	_, sound := newServers(t, 1, server.Config{})
+	h := newHost(t, "a", nil, Config{MaxAnswerBytes: endlessAnswerLimit, Dialect: Dialect{SkipStaleResponses: true}}, s.target("endless"), sound[0])
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	client := newClient(t, 4)
+	started := time.Now()
+	resp, err := client.Get(h.url + "/open/x")
+	status, complete, n := 0, false, int64(0)
+	if err == nil {
+		n, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		status, complete = resp.StatusCode, err == nil
+	}
+	switch {
+	case c.Broken && complete && status < http.StatusInternalServerError:
+		t.Errorf("the caller gets a complete answer with status %d and %d bytes", status, n)
+	case !c.Broken && status != c.Status:
+		t.Errorf("status %d, want %d (error %v)", status, c.Status, err)
+	case c.Streamed && n > endlessAnswerLimit:
+		t.Errorf("the caller gets %d bytes, more than the limit", n)
+	}
+	waitFor(t, "the connection to be closed", func() bool { return s.closed.Load() == s.opened.Load() })
+	if d := time.Since(started); d > endlessClosedWithin {
+		t.Errorf("the connection is closed after %v", d)
+	}
+	if sent := s.sent.Load(); sent > endlessBytes {
+		t.Errorf("the server got rid of %d bytes", sent)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > endlessMemory {
+		t.Errorf("the heap grows by %d bytes", grown)
+	}
+	// The admitter assigns the sound server next.
+	if resp, err = client.Get(h.url + "/open/y"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("another request fails: %v, %v", resp, err)
+	}
+	_ = resp.Body.Close()
+}
--- a/internal/route/proxy/pool.go
+++ b/internal/route/proxy/pool.go
@@ -79,21 +79,27 @@
 	}
 }
 
-// sweep closes connections that have been idle for longer than maxIdleTime.
+// sweep closes connections that have been idle for longer than maxIdleTime, and
+// those that are no longer usable: what a server sends between two requests would
+// fill the buffers of the kernel.
 func (p *pool) sweep() {
 	oldest := p.now().Add(-maxIdleTime)
 	p.mu.Lock()
 	var drop []*conn
 	for addr, list := range p.idle {
-		n := 0
-		for n < len(list) && list[n].lastUsed.Before(oldest) {
-			n++
+		kept := list[:0]
+		for _, c := range list {
+			if c.lastUsed.Before(oldest) || !c.usable() {
+				drop = append(drop, c)
+			} else {
+				kept = append(kept, c)
+			}
 		}
-		drop = append(drop, list[:n]...)
-		if n == len(list) {
+		clear(list[len(kept):])
+		if len(kept) == 0 {
 			delete(p.idle, addr)
-		} else if n > 0 {
-			p.idle[addr] = append([]*conn(nil), list[n:]...)
+		} else {
+			p.idle[addr] = kept
 		}
 	}
 	p.mu.Unlock()
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -140,6 +140,9 @@
 }
 
 func (p *Proxy) setTable(t *cove.Table) {
+	if old := p.table.Load(); old != nil && old.sameRows(t) {
+		return
+	}
 	c := &compiledTable{
 		table:     t,
 		routes:    match.Compile(t),
@@ -165,15 +168,29 @@
 	p.table.Store(c)
 }
 
+// sameRows reports whether t has the same rows except for backend servers, which
+// change more often.
+func (c *compiledTable) sameRows(t *cove.Table) bool {
+	if t.Version != c.table.Version || len(t.Pools) != len(c.table.Pools) {
+		return false
+	}
+	for i := range t.Pools {
+		if t.Pools[i].Name != c.table.Pools[i].Name {
+			return false
+		}
+	}
+	return cove.SameSlice(c.table.Routes, t.Routes) && cove.SameSlice(c.table.Teams, t.Teams)
+}
+
 // hasPool reports whether the tables contain a pool. A forwarded request may
 // name a pool that its route no longer uses: while traffic shifts to a new pool
 // the sending host may fall back to the old one, and it may briefly have an
 // older version of the tables.
 func (c *compiledTable) hasPool(name cove.PoolName) bool { return c.pools[name] }
 
-// sweepInterval is the interval at which expired idle connections to backend
-// servers are closed.
-const sweepInterval = 5 * time.Second
+// sweepInterval is the interval at which idle connections to backend servers are
+// closed that have expired or on which the server has closed or sent something.
+const sweepInterval = time.Second
 
 func (p *Proxy) sweep(ctx context.Context) error {
 	for {
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -100,14 +100,13 @@
 	return out
 }
 
-// ApplyUpdates merges assignments made by another host. Where this host's
-// assignment takes precedence, as after a restart of the other host, it returns
-// a correction to be sent back.
-func (b *Balancer) ApplyUpdates(updates []AssignmentUpdate) []AssignmentUpdate {
+// ApplyUpdates merges assignments made by another host. It returns those that
+// were news to this host. Where this host's assignment takes precedence, as after
+// a restart of the other host, it returns a correction to be sent back.
+func (b *Balancer) ApplyUpdates(updates []AssignmentUpdate) (news, corrections []AssignmentUpdate) {
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var corrections []AssignmentUpdate
 	for i := range updates {
 		p := b.pools[updates[i].Pool]
 		if p == nil {
@@ -118,9 +117,12 @@
 			b.counters.Add("steer.noteUnreadable", 1)
 			continue
 		}
-		if current, stale := p.assignments.Merge(received, now); stale {
+		switch current, result := p.assignments.Merge(received, now); result {
+		case place.Adopted:
+			news = append(news, updates[i])
+		case place.Stale:
 			corrections = append(corrections, newUpdate(p.row.Name, current))
 		}
 	}
-	return corrections
+	return news, corrections
 }
--- a/internal/route/steer/assignment_test.go
+++ b/internal/route/steer/assignment_test.go
@@ -14,7 +14,8 @@
 		updates := from.DequeueUpdates()
 		for j, to := range f.hosts {
 			if i != j {
-				from.ApplyUpdates(to.ApplyUpdates(updates))
+				_, corrections := to.ApplyUpdates(updates)
+				from.ApplyUpdates(corrections)
 			}
 		}
 	}
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -45,6 +45,7 @@
 	pools   map[cove.PoolName]*pool
 	domains map[cove.Domain]*domain
 	routes  map[cove.RouteName]*routeStats
+	senders hostKeys
 	// candidates and eligible are buffers, reused by each call.
 	candidates        []place.Candidate
 	eligible          []place.Server
@@ -59,13 +60,16 @@
 	restored bool
 	// rtt is the mean round-trip time, measured when connections are opened.
 	rtt time.Duration
+	// rttSamples is the number of those measurements.
+	rttSamples int
 }
 
 // routeStats holds this host's measurements of a route.
 type routeStats struct {
 	times map[cove.PoolName]*place.ServiceTimes
 	// split distributes the requests over the pools of a traffic split.
-	split place.WeightedRoundRobin
+	split    place.WeightedRoundRobin
+	locality place.Locality
 }
 
 var _ cove.Admitter = (*Balancer)(nil)
@@ -207,7 +211,7 @@
 	object := req.AffinityKey
 	localWeight := b.localWeight(req)
 	for i, srv := range p.list {
-		d := b.domains[srv.row.Domain]
+		d := srv.domain
 		if d == nil || d.evacuated || srv.row.Draining || srv.misplaced || excluded(ex, srv.row.ID) {
 			continue
 		}
@@ -215,7 +219,7 @@
 			continue
 		}
 		total++
-		score := b.score(srv, d, object, localWeight, now)
+		score := b.score(srv, object, localWeight, now)
 		if !srv.coldLimitAllows(now) {
 			continue
 		}
@@ -243,31 +247,34 @@
 // for an object. It depends only on the round-trip times and the goal, so that
 // all hosts of the region agree.
 func (b *Balancer) localWeight(req *cove.RequestInfo) float64 {
-	var sum, n time.Duration
+	var sum time.Duration
+	domains, samples := 0, 0
 	for _, d := range b.domains {
 		if d.region != b.self.Region {
 			sum += d.rtt
-			n++
+			domains++
+			samples += d.rttSamples
 		}
 	}
-	if n == 0 {
+	if domains == 0 {
 		return 1
 	}
-	return place.LocalWeight(sum/n, req.Goal)
+	return b.route(req.Route).locality.Weight(sum/time.Duration(domains), samples, req.Goal)
 }
 
 // score ranks the servers for an object. Without an object, the least loaded
 // nearby server is best.
-func (b *Balancer) score(srv *server, d *domain, object uint64, localWeight float64, now time.Time) float64 {
-	if object != 0 {
-		weight := 1.0
-		if d.region == b.self.Region {
-			weight = localWeight
-		}
-		return place.Score(object, srv.key, weight)
+func (b *Balancer) score(srv *server, object uint64, localWeight float64, now time.Time) float64 {
+	switch {
+	case object == 0:
+		load := srv.load.Estimate(now) / float64(max(srv.row.Slots, 1))
+		return -load - srv.domain.rtt.Seconds()
+	case localWeight == 1:
+		return float64(place.Rank(object, srv.key))
+	case srv.domain.region == b.self.Region:
+		return place.Score(object, srv.key, localWeight)
 	}
-	load := srv.load.Estimate(now) / float64(max(srv.row.Slots, 1))
-	return -load - d.rtt.Seconds()
+	return place.Score(object, srv.key, 1)
 }
 
 func excluded(ex cove.Exclude, id cove.ServerID) bool {
@@ -298,7 +305,7 @@
 	return place.Candidate{
 		Slots:           srv.row.Slots,
 		Load:            srv.load.Estimate(now),
-		RoundTrip:       b.domains[srv.row.Domain].rtt,
+		RoundTrip:       srv.domain.rtt,
 		ServiceTime:     time.Duration(slowdown * float64(times.Estimate(preferred))),
 		MeanServiceTime: time.Duration(slowdown * float64(p.times.Estimate(true))),
 		Unmeasured:      !times.Measured(),
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -99,9 +99,10 @@
 // measure updates the round-trip time of the failure domain, the slowdown of
 // the server and the service times.
 func (t *permit) measure(res cove.AttemptResult) {
-	d := t.b.domains[t.server.row.Domain]
+	d := t.server.domain
 	if d != nil && res.Connect > 0 {
 		d.rtt += (res.Connect - d.rtt) / rttSamples
+		d.rttSamples++
 	}
 	if d != nil && (res.Status != 0 && !res.Shed || res.Silent) {
 		// A request without a response took at least this long.
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -30,7 +30,9 @@
 
 // server is one run of a backend server.
 type server struct {
-	row    cove.Server
+	row cove.Server
+	// domain is nil if the tables do not list the server's failure domain.
+	domain *domain
 	key    uint64
 	load   place.Load
 	health *health.Server
@@ -80,7 +82,7 @@
 		return
 	}
 	srv.coldUntil = until
-	b.assignColdSenders(p, srv, b.hosts.Registered())
+	b.assignColdSenders(p, srv)
 }
 
 // coldLimitAllows reports whether the limit on requests to cold servers allows
@@ -148,7 +150,6 @@
 	p.servers = make(map[cove.ServerID]*server, len(row.Servers))
 	p.list = p.list[:0]
 	p.byKey, p.slots = make(map[uint64]*server, len(row.Servers)), 0
-	hosts := b.hosts.Registered()
 	for _, r := range row.Servers {
 		srv := old[r.ID]
 		if srv == nil || srv.row.Addr != r.Addr || !srv.row.Started.Equal(r.Started) {
@@ -163,7 +164,7 @@
 			// after the next heartbeat.
 			srv.coldUntil = later(srv.coldUntil, now.Add(time.Duration(row.ColdStart)))
 		}
-		srv.row = r
+		srv.row, srv.domain = r, b.domains[r.Domain]
 		srv.misplaced = false
 		p.servers[r.ID] = srv
 		p.list = append(p.list, srv)
@@ -172,7 +173,7 @@
 			p.slots += r.Slots
 		}
 		if now.Before(srv.coldUntil) {
-			b.assignColdSenders(p, srv, hosts)
+			b.assignColdSenders(p, srv)
 		}
 	}
 }
@@ -186,24 +187,33 @@
 
 // assignColdSenders decides whether and how often this host may send to a cold
 // server.
-func (b *Balancer) assignColdSenders(p *pool, srv *server, hosts []cove.HostID) {
+func (b *Balancer) assignColdSenders(p *pool, srv *server) {
 	if p.row.ColdRate <= 0 {
 		srv.coldSender, srv.coldInterval = true, 0
 		return
 	}
+	hosts := b.senders.keys(b.hosts.Registered())
 	limit := place.ColdLimit{Rate: p.row.ColdRate, Over: b.cfg.ColdOver, Slack: b.cfg.ColdSlack}
 	n, rate := limit.Senders(len(hosts))
-	var ranking place.Ranking
-	for i, id := range hosts {
-		ranking.Add(i, place.Score(srv.key, xxhash.Sum64String(string(id)), 1))
+	srv.coldSender = place.RanksAmong(n, srv.key, xxhash.Sum64String(string(b.self.ID)), hosts)
+	srv.coldInterval = place.MinInterval(rate)
+}
+
+// hostKeys caches the keys of the registered hosts.
+type hostKeys struct {
+	hosts  []cove.HostID
+	hashes []uint64
+}
+
+func (k *hostKeys) keys(hosts []cove.HostID) []uint64 {
+	if k.hashes != nil && cove.SameSlice(k.hosts, hosts) {
+		return k.hashes
 	}
-	srv.coldSender = false
-	for i, index := range ranking.Indexes() {
-		if i < n && hosts[index] == b.self.ID {
-			srv.coldSender = true
-		}
+	k.hosts, k.hashes = hosts, make([]uint64, len(hosts))
+	for i, id := range hosts {
+		k.hashes[i] = xxhash.Sum64String(string(id))
 	}
-	srv.coldInterval = place.MinInterval(rate)
+	return k.hashes
 }
 
 func (b *Balancer) mayEject(p *pool, exclude *server, now time.Time) bool {
--- a/internal/state/keys/keys.go
+++ b/internal/state/keys/keys.go
@@ -49,6 +49,8 @@
 	fresh   Freshness
 	index   atomic.Pointer[index]
 	limiter *guessLimiter
+	// source holds the rows that the index was built from. Only rebuild uses it.
+	source []cove.TeamRow
 }
 
 var _ cove.Authenticator = (*Keys)(nil)
@@ -72,6 +74,10 @@
 }
 
 func (k *Keys) rebuild(t *cove.Table) {
+	if k.index.Load() != nil && cove.SameSlice(k.source, t.Teams) {
+		return
+	}
+	k.source = t.Teams
 	ix := &index{byDigest: make(map[table.Digest]*indexEntry), bySerial: make(map[uint64]*indexEntry)}
 	for _, m := range t.Teams {
 		for _, row := range m.Keys {
--- a/table.go
+++ b/table.go
@@ -185,3 +185,9 @@
 	// publishes it. If there is a table already, it calls fn immediately.
 	Watch(fn func(*Table))
 }
+
+// SameSlice reports whether a and b are the same slice. Watchers of the tables
+// use it to skip rows that a new table took over from the last one unchanged.
+func SameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
