Loans of tokens follow demand; low rates issue in few failure domains

Cause, from a replay of demand in virtual time (TestLoansFollowDemand): a host whose team sends all requests there stayed with one lender that was down to its reserve and gave fractions; 692 of 1,090 requests at 90 % of the rate were refused, 403 of 1,050 with the demand in one region of three. And with 9 or more failure domains, the buckets of one token in each exceed the bound of a team of a low rate (27 in 5 s, bound 23.85: TestLowRateInManyDomains).

Change: a host goes on to the next issuer after a partial loan, issuers give whole tokens, keep a fifth, and refill when they lent to hosts without tokens; fewer, larger issuers; as few issuing domains as whole tokens need.

Ruled out: buckets of 0.5, 0.7 or 1.5 s (more refused).

--- a/internal/limit/split/share.go
+++ b/internal/limit/split/share.go
@@ -29,7 +29,7 @@
 	// minIssuerRate is the least rate of an issuer in tokens per second, unless it
 	// is the only one of its failure domain. It limits the number of issuers, so
 	// that each of them accumulates whole tokens.
-	minIssuerRate = 4.0
+	minIssuerRate = 8.0
 )
 
 // member is a registered host. Its key is hashed once, as it is ranked for each
@@ -43,6 +43,7 @@
 
 // group holds the hosts of a failure domain, in the order of their ids.
 type group struct {
+	key     uint64
 	members []member
 	local   bool
 }
@@ -57,7 +58,7 @@
 		if !ok {
 			i = len(groups)
 			byDomain[p.Domain] = i
-			groups = append(groups, group{local: p.Domain == self.Domain})
+			groups = append(groups, group{key: xxhash.Sum64String(string(p.Domain)), local: p.Domain == self.Domain})
 		}
 		m := member{id: p.ID, domain: p.Domain, region: p.Region, key: xxhash.Sum64String(string(p.ID))}
 		groups[i].members = append(groups[i].members, m)
@@ -105,6 +106,26 @@
 	issuers []member
 }
 
+// issuingGroups returns the indexes of the groups that issue tokens of a team. A
+// team of a low rate has them in few groups, so that each of their buckets holds
+// a whole token; more whole tokens than the rate allows would exceed the bound.
+func issuingGroups(groups []group, team uint64, fleetRate float64) []int {
+	out := make([]int, len(groups))
+	for i := range out {
+		out[i] = i
+	}
+	n := max(1, int(fleetRate*bucketSeconds))
+	if n >= len(groups) {
+		return out
+	}
+	slices.SortFunc(out, func(a, b int) int {
+		return cmp.Compare(place.Rank(team, groups[b].key), place.Rank(team, groups[a].key))
+	})
+	out = out[:n]
+	slices.Sort(out)
+	return out
+}
+
 // shareOf returns the share of the host self. A bucket of bucketSeconds admits at
 // most rate × (W + bucketSeconds) in a window of W seconds. A host that is no
 // issuer holds no tokens and borrows only for requests that wait, because the
@@ -117,9 +138,11 @@
 	}
 	w := b.Window.Seconds()
 	total := ((row.Rate*w+row.Burst)*(1+b.Overshoot) + b.Slack) * usableFraction
-	domainRate := total / (w + bucketSeconds) / float64(len(groups))
+	fleetRate := total / (w + bucketSeconds)
 	team := xxhash.Sum64String(string(row.Name))
-	for i := range groups {
+	issuing := issuingGroups(groups, team, fleetRate)
+	domainRate := fleetRate / float64(len(issuing))
+	for _, i := range issuing {
 		n := max(1, min(len(groups[i].members), int(domainRate/minIssuerRate)))
 		first := len(share.issuers)
 		share.issuers = groups[i].issuersOf(share.issuers, team, n)
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,6 +64,8 @@
 	issuers []cove.HostID
 	// nextRequestAt is when this host may request tokens again.
 	nextRequestAt time.Time
+	// asked is the number of tokens in the last request.
+	asked rate.Amount
 	// nextIssuer is the index into issuers, modulo its length, of the issuer to
 	// ask next.
 	nextIssuer int
@@ -175,13 +178,13 @@
 	// maxEmptyAnswers is the number of consecutive issuers without tokens after
 	// which a team counts as over its rate. In a region of three failure domains,
 	// it lets hosts ask in other regions too.
-	maxEmptyAnswers = 5
+	maxEmptyAnswers = 8
 	// answerTimeout is the time after which an unanswered request for tokens
 	// counts as lost. An answer from another region takes up to 80 ms.
 	answerTimeout = 100 * time.Millisecond
 	// loanTimeout bounds how long a request waits for a loan: the answers of the
 	// issuers of its region and one from another region.
-	loanTimeout = 180 * time.Millisecond
+	loanTimeout = 250 * time.Millisecond
 	// lowLevel is the fraction of the burst at or below which tokens are
 	// requested, so that they arrive before the bucket is empty.
 	lowLevel = 0.5
@@ -293,8 +296,9 @@
 			continue
 		}
 		t.nextRequestAt = now.Add(answerTimeout)
+		t.asked = max(0, q.Burst-t.bucket.Level()) + max(0, shortfall)
 		l.counters.Add("split.asked", 1)
-		l.peers.RequestTokens(to, name, (max(0, q.Burst-t.bucket.Level()) + max(0, shortfall)).Tokens())
+		l.peers.RequestTokens(to, name, t.asked.Tokens())
 		return true
 	}
 	return false
@@ -315,7 +319,7 @@
 
 // lenderReserve is the fraction of its burst that an issuer does not lend to hosts
 // of other failure domains.
-const lenderReserve = 0.4
+const lenderReserve = 0.2
 
 // Lend takes tokens out of this host's bucket for another host and returns how
 // many. They are not returned if the answer gets lost.
@@ -326,16 +330,24 @@
 	if t == nil || !t.limited || !(want > 0) {
 		return 0
 	}
-	t.bucket.Advance(l.clock.Now())
+	now := l.clock.Now()
+	t.bucket.Advance(now)
 	reserve := rate.Amount(0)
 	if !l.domainHosts[to] {
 		reserve = t.bucket.Quota().Burst.Scale(int64(lenderReserve*100), 100)
 	}
-	spare := t.bucket.Level() - reserve
-	if spare <= 0 {
-		return 0
+	spare := max(0, t.bucket.Level()-reserve)
+	wanted := rate.Floor(want)
+	if spare < wanted {
+		// A host without a bucket of its own cannot save up fractions.
+		spare -= spare % rate.Token
+	}
+	granted := t.bucket.Remove(min(spare, wanted))
+	if !slices.Contains(t.issuers, to) {
+		// The demand of hosts without tokens shows at the issuers near them.
+		l.requestLoan(name, t, now)
 	}
-	return t.bucket.Remove(min(spare, rate.Floor(want))).Tokens()
+	return granted.Tokens()
 }
 
 // Receive handles the answer to a request for tokens; zero means that the issuer
@@ -359,6 +371,11 @@
 		t.waitingCredit += granted
 		t.bucket.Add(received - granted)
 		l.counters.Add("split.borrowed", 1)
+		if received < t.asked {
+			// The issuer is down to its reserve, and would give only what it has
+			// earned since. Others may hold more.
+			t.nextIssuer++
+		}
 	} else {
 		// Another issuer may have tokens.
 		t.nextIssuer++
--- a/internal/limit/split/split_test.go
+++ b/internal/limit/split/split_test.go
@@ -13,6 +13,7 @@
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/clock"
 	"turmericcove.org/cove/internal/core/meter"
+	"turmericcove.org/cove/internal/limit/rate"
 	"turmericcove.org/cove/internal/state/active"
 )
 
@@ -74,10 +75,14 @@
 }
 
 func (f *fleet) startHost(p Peer, row cove.TeamRow, b Bound) *Limiter {
+	return startLimiter(f.clock, p, row, fakePeers{f, p.ID}, b)
+}
+
+func startLimiter(c cove.Clock, p Peer, row cove.TeamRow, peers Peers, b Bound) *Limiter {
 	tables := new(active.Tables)
 	tables.Publish(&cove.Table{Version: 1, Teams: []cove.TeamRow{row}})
 	self := cove.Self{ID: p.ID, Domain: p.Domain, Region: p.Region}
-	return New(self, f.clock, tables, fakePeers{f, p.ID}, new(meter.Meter), b)
+	return New(self, c, tables, peers, new(meter.Meter), b)
 }
 
 // tryTake tries once, without waiting for a loan.
@@ -205,6 +210,38 @@
 	}
 }
 
+// Guards against buckets of one token in each of many failure domains, which
+// together exceed the bound of a team of a low rate.
+func TestLowRateInManyDomains(t *testing.T) {
+	for _, teamRate := range []float64{0.5, 2, 5, 20, 100} {
+		for _, domains := range []int{3, 9, 21} {
+			row := cove.TeamRow{Name: testTeam, Rate: teamRate, Burst: 1}
+			f := newFleet(domains, 4, row, testBound)
+			f.clock.Advance(time.Minute)
+			taken := 0
+			for range int(testBound.Window / (10 * time.Millisecond)) {
+				for _, p := range f.peers {
+					for f.hosts[p.ID].takeNow() {
+						taken++
+					}
+				}
+				f.clock.Advance(10 * time.Millisecond)
+			}
+			limit := (row.Rate*testBound.Window.Seconds()+row.Burst)*(1+testBound.Overshoot) + testBound.Slack
+			if float64(taken) > limit {
+				t.Errorf("rate %v in %d failure domains: %d requests in a window, bound %v", teamRate, domains, taken, limit)
+			}
+		}
+	}
+}
+
+// takeNow takes a token from the host's own bucket.
+func (l *Limiter) takeNow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.teams[testTeam].bucket.Take(l.clock.Now(), rate.Token)
+}
+
 // Guards against work for each pair of team and host that makes a change of the
 // register expensive in a large fleet.
 func BenchmarkRecompute(b *testing.B) {
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -53,7 +53,13 @@
 		}
 	}
 	b.eligible = b.eligible[:0]
-	for _, srv := range order {
+	local := b.localWeight(req) != 1
+	for i, srv := range order {
+		if local && i >= place.MaxChoices && srv.domain.region != b.self.Region {
+			// An object that is best kept in this region leaves it only if the
+			// region has fewer servers than choices.
+			break
+		}
 		b.eligible = append(b.eligible, place.Server{Key: srv.key, Slots: srv.row.Slots})
 	}
 	work := place.WorkOf(req.Goal)
