--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -23,8 +23,9 @@
 	// dialTimeout bounds connecting to a host of the same region.
 	dialTimeout = 300 * time.Millisecond
 	// livenessCheckInterval is how often a host checks during a read whether its
-	// reader is still live.
+	// reader is still live, treeCheckInterval the same in a tree.
 	livenessCheckInterval = 250 * time.Millisecond
+	treeCheckInterval     = 500 * time.Millisecond
 	// userTimeout is the TCP user timeout: it ends a connection whose sent data
 	// stays unacknowledged. Heartbeats detect a silent host at about the same
 	// time.
@@ -128,11 +129,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A reader that has become silent would keep the request open until maxHold.
+	interval := livenessCheckInterval
+	if s.InTree() {
+		interval = treeCheckInterval
+	}
 	watch := group.New(ctx)
 	watch.Go(func(ctx context.Context) error {
 		for s.presumedLive(from.ID) {
 			s.follow(name)
-			if err := s.Clock.Sleep(ctx, livenessCheckInterval); err != nil {
+			if err := s.Clock.Sleep(ctx, interval); err != nil {
 				return nil
 			}
 		}
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -38,7 +38,7 @@
 	startupPresumption = 2000 * time.Millisecond
 	// followSlack is how long the rows of a host count as fresh after it has seen
 	// its reader live while it waits there for changes.
-	followSlack = livenessCheckInterval + 200*time.Millisecond
+	followSlack = treeCheckInterval + 200*time.Millisecond
 	// staleHold bounds how long a request is held until the rows are fresh. It
 	// covers the start of a reader and its change to another source.
 	staleHold = 700 * time.Millisecond
--- a/internal/ops/direct/assignments.go
+++ b/internal/ops/direct/assignments.go
@@ -29,6 +29,8 @@
 type spreader struct {
 	mu      sync.Mutex
 	pending []pendingUpdate
+	// ready holds a value while there may be updates to send.
+	ready chan struct{}
 }
 
 type pendingUpdate struct {
@@ -43,6 +45,15 @@
 	for _, u := range updates {
 		s.pending = append(s.pending, pendingUpdate{u, from})
 	}
+	s.wake()
+}
+
+// wake makes spreadAssignments send what there is.
+func (s *spreader) wake() {
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
 }
 
 func (s *spreader) take() []pendingUpdate {
@@ -68,11 +79,18 @@
 // host.
 func (h *Host) spreadAssignments(ctx context.Context) error {
 	for {
+		select {
+		case <-h.spreader.ready:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 		if err := h.Clock.Sleep(ctx, assignmentInterval); err != nil {
 			return err
 		}
-		h.spreader.add(h.steer.DequeueUpdates(), "")
 		pending := h.spreader.take()
+		for _, u := range h.steer.DequeueUpdates() {
+			pending = append(pending, pendingUpdate{AssignmentUpdate: u})
+		}
 		if len(pending) == 0 {
 			continue
 		}
--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -88,7 +88,9 @@
 	self := cove.Self{ID: o.Self.ID, Incarnation: cove.NewIncarnation(), Region: o.Self.Region, Domain: o.Self.Domain}
 	h.split = split.New(self, h.Clock, h.Tables, tokenPeers{h}, h.Counters, o.Split)
 	services := []cove.Service{h.Beacon, h.Relay, &metrics{addr: o.Metrics, meter: h.Counters, events: h.Events}}
+	h.spreader.ready = make(chan struct{}, 1)
 	h.steer = steer.New(self, h.Clock, h.Tables, h.Beacon, h.Counters, h.Events, o.Steer)
+	h.steer.OnUpdate(h.spreader.wake)
 	var log *audit.Log
 	if o.Out != nil {
 		log = &audit.Log{Out: o.Out, Host: o.Self.ID, Clock: h.Clock, Counters: h.Counters}
--- a/internal/route/place/choose.go
+++ b/internal/route/place/choose.go
@@ -41,10 +41,6 @@
 // request has cost a round trip.
 const MaxLoadPerSlot = 4.0
 
-// spillShare is the load of a server, as a share of its slots, from which on it
-// takes no requests whose objects are cold there.
-const spillShare = 0.75
-
 // Verdict is the reason for a choice.
 type Verdict string
 
@@ -82,9 +78,9 @@
 // whose warm servers are at capacity, requests that spread over all servers
 // would find each of them cold, run three times as long and double the load.
 //
-// A server where the object is colder takes it only while it has slots to spare.
-// In an overload, the requests that find no room at their own server would
-// otherwise fill every free slot with cold work, and each of them would take the
+// A server where the object is colder takes it only into a free slot. In an
+// overload, the requests that find no room at their own server would otherwise
+// join the queues of the others with cold work, and each of them would take the
 // place of several warm ones.
 //
 // Candidates beyond MaxChoices get a request only when those before them have no
@@ -113,7 +109,7 @@
 		retryAfter = min(retryAfter, max(c.queueTime()-queueLimit, c.MeanServiceTime))
 		switch {
 		case c.Load >= MaxLoadPerSlot*float64(c.Slots) || c.queueTime() > queueLimit:
-		case c.ServiceTime > preferred.ServiceTime && c.Load >= spillShare*float64(c.Slots):
+		case c.ServiceTime > preferred.ServiceTime && c.Load >= float64(c.Slots):
 		case !c.Unmeasured && c.ExpectedLatency() > remaining:
 			tooLate = true
 		case best < 0 || c.ExpectedLatency()+c.coldPenalty() < candidates[best].ExpectedLatency():
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -190,7 +190,7 @@
 
 // sweepInterval is the interval at which idle connections to backend servers are
 // closed that have expired or on which the server has closed or sent something.
-const sweepInterval = time.Second
+const sweepInterval = 3 * time.Second
 
 func (p *Proxy) sweep(ctx context.Context) error {
 	for {
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -64,7 +64,7 @@
 	}
 	work := place.WorkOf(req.Goal)
 	srv := order[p.assignments.Choose(b.eligible, p.assignments.MeanPerSlot(p.slots, work))]
-	b.assignmentUpdates = append(b.assignmentUpdates, newUpdate(p.row.Name, p.assignments.Assign(object, srv.key, work, now)))
+	b.enqueueUpdate(p, p.assignments.Assign(object, srv.key, work, now))
 	moveToFront(order, srv)
 }
 
@@ -96,7 +96,19 @@
 		return
 	}
 	b.counters.Add("steer.moved", 1)
-	b.assignmentUpdates = append(b.assignmentUpdates, newUpdate(p.row.Name, p.assignments.Assign(object, to.key, current.Work, now)))
+	b.enqueueUpdate(p, p.assignments.Assign(object, to.key, current.Work, now))
+}
+
+// OnUpdate sets a function to be called when there is an update for other hosts.
+// It must not block or call b, and must be set before the first request.
+func (b *Balancer) OnUpdate(fn func()) { b.onUpdate = fn }
+
+// enqueueUpdate adds an update for other hosts.
+func (b *Balancer) enqueueUpdate(p *pool, a place.Assignment) {
+	b.assignmentUpdates = append(b.assignmentUpdates, newUpdate(p.row.Name, a))
+	if b.onUpdate != nil {
+		b.onUpdate()
+	}
 }
 
 // DequeueUpdates returns the updates for other hosts since the last call.
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -50,6 +50,8 @@
 	candidates        []place.Candidate
 	eligible          []place.Server
 	assignmentUpdates []AssignmentUpdate
+	// onUpdate is called when assignmentUpdates grows; it may be nil.
+	onUpdate func()
 }
 
 // domain is the state of a failure domain.
