Strict queue limit only in a lasting overload; own region from .17 of the goal

Change: place.Overload: three times the limit until 0.6 of the requests of some seconds found longer queues, then the limit until that is 0.05.

--- a/internal/route/place/backlog.go
+++ b/internal/route/place/backlog.go
@@ -50,3 +50,51 @@
 	}
 	return max(limit, mean)
 }
+
+// Overload detects that a pool is asked for more than it can do for longer than a
+// moment. Until then, requests may queue for several times the limit: after a
+// short burst or the loss of a server, late responses are worth more than
+// refusals. The zero value is ready to use.
+type Overload struct {
+	// share is the moving average of the requests that found a queue beyond the
+	// limit.
+	share   float64
+	updated time.Time
+	lasting bool
+}
+
+const (
+	// patience is the factor on the limit while no overload lasts.
+	patience = 3
+	// overloadTime is the time constant of the moving average.
+	overloadTime = 1500 * time.Millisecond
+	// overloadBegins and overloadEnds are the shares at which a lasting overload
+	// begins and ends. A pool that refuses its excess still has requests beyond
+	// the limit; the gap keeps it from changing with each of them.
+	overloadBegins = 0.6
+	overloadEnds   = 0.05
+)
+
+// Limit returns how long a request may queue that finds a queue of the given time
+// at its preferred server. limit is the result of QueueLimit.
+func (o *Overload) Limit(now time.Time, queue, limit time.Duration) time.Duration {
+	sample := 0.0
+	if queue > limit {
+		sample = 1
+	}
+	if !o.updated.IsZero() {
+		weight := 1 - math.Exp(-float64(now.Sub(o.updated))/float64(overloadTime))
+		o.share += weight * (sample - o.share)
+	}
+	o.updated = now
+	switch {
+	case o.share > overloadBegins:
+		o.lasting = true
+	case o.share < overloadEnds:
+		o.lasting = false
+	}
+	if o.lasting || limit > math.MaxInt64/patience {
+		return limit
+	}
+	return patience * limit
+}
--- a/internal/route/place/choose.go
+++ b/internal/route/place/choose.go
@@ -22,8 +22,8 @@
 	Unmeasured bool
 }
 
-// queueTime returns the expected time until a slot is free.
-func (c *Candidate) queueTime() time.Duration {
+// QueueTime returns the expected time until a slot is free.
+func (c *Candidate) QueueTime() time.Duration {
 	excess := c.Load + 1 - float64(c.Slots)
 	if excess <= 0 || c.Slots <= 0 {
 		return 0
@@ -33,7 +33,7 @@
 
 // ExpectedLatency returns the expected time until the response arrives.
 func (c *Candidate) ExpectedLatency() time.Duration {
-	return c.RoundTrip + c.queueTime() + c.ServiceTime
+	return c.RoundTrip + c.QueueTime() + c.ServiceTime
 }
 
 // MaxLoadPerSlot is the number of requests per slot at which a server gets no
@@ -106,9 +106,9 @@
 	retryAfter := time.Duration(math.MaxInt64)
 	for i := range candidates {
 		c := &candidates[i]
-		retryAfter = min(retryAfter, max(c.queueTime()-queueLimit, c.MeanServiceTime))
+		retryAfter = min(retryAfter, max(c.QueueTime()-queueLimit, c.MeanServiceTime))
 		switch {
-		case c.Load >= MaxLoadPerSlot*float64(c.Slots) || c.queueTime() > queueLimit:
+		case c.Load >= MaxLoadPerSlot*float64(c.Slots) || c.QueueTime() > queueLimit:
 		case c.ServiceTime > preferred.ServiceTime && c.Load >= float64(c.Slots):
 		case !c.Unmeasured && c.ExpectedLatency() > remaining:
 			tooLate = true
--- a/internal/route/place/load_test.go
+++ b/internal/route/place/load_test.go
@@ -89,6 +89,13 @@
 // replay sends the requests of a load pattern, which gives the requests a second
 // at each time, to 12 servers.
 func replay(perSecond func(time.Duration) float64, choose func([]Candidate, time.Duration) Choice) (out replayed) {
+	return replayAt(perSecond, func(_ time.Time, candidates []Candidate, remaining time.Duration) Choice {
+		return choose(candidates, remaining)
+	})
+}
+
+// replayAt is like replay for a choice that depends on the time.
+func replayAt(perSecond func(time.Duration) float64, choose func(time.Time, []Candidate, time.Duration) Choice) (out replayed) {
 	const servers, slots, objects = 12, 5, 300
 	const length, goal, limit = 30 * time.Second, 250 * time.Millisecond, time.Second
 	sim := &serverSim{slots: slots, cacheSize: 40, coldTime: 240 * time.Millisecond, warmFactor: 0.3}
@@ -122,7 +129,7 @@
 			candidates = append(candidates, Candidate{Slots: slots, Load: float64(len(running)), ServiceTime: work, MeanServiceTime: 90 * time.Millisecond})
 		}
 		out.total++
-		c := choose(candidates, limit)
+		c := choose(time.Unix(1000, 0).Add(sim.now), candidates, limit)
 		if c.Index < 0 {
 			out.refused++
 			continue
@@ -142,6 +149,16 @@
 	return out
 }
 
+// limitedChoice returns a choice with the queue limit of requests that take 72 ms
+// at a warm server.
+func limitedChoice() func(time.Time, []Candidate, time.Duration) Choice {
+	limit := QueueLimit([]Kind{{Goal: 250 * time.Millisecond, ServiceTime: 72 * time.Millisecond}}, 0, 90*time.Millisecond)
+	var overload Overload
+	return func(now time.Time, candidates []Candidate, remaining time.Duration) Choice {
+		return Choose(candidates, remaining, overload.Limit(now, candidates[0].QueueTime(), limit))
+	}
+}
+
 func chooseUnlimited(candidates []Candidate, remaining time.Duration) Choice {
 	return Choose(candidates, remaining, math.MaxInt64)
 }
@@ -177,20 +194,18 @@
 // second, and are asked for up to four times as many. What is served in time must
 // not fall as the load grows.
 func TestQueueLimitUnderOverload(t *testing.T) {
-	kinds := []Kind{{Goal: 250 * time.Millisecond, ServiceTime: 72 * time.Millisecond}}
-	queueLimit := QueueLimit(kinds, 0, 90*time.Millisecond)
-	limited := func(candidates []Candidate, remaining time.Duration) Choice {
-		return Choose(candidates, remaining, queueLimit)
-	}
 	const capacity = 12 * 5 / 0.072
 	served := 0
 	for _, factor := range []float64{1, 1.5, 2, 4} {
 		steady := func(time.Duration) float64 { return factor * capacity }
-		got, unlimited := replay(steady, limited), replay(steady, chooseUnlimited)
+		got, unlimited := replayAt(steady, limitedChoice()), replay(steady, chooseUnlimited)
 		t.Logf("%.1f times the capacity: %+v, worth %.2f; without the limit %+v, worth %.2f", factor, got, got.worth(), unlimited, unlimited.worth())
 		if got.worth() < unlimited.worth() {
 			t.Errorf("%.1f times the capacity: worth %.2f, without the limit %.2f", factor, got.worth(), unlimited.worth())
 		}
+		if bound := min(1, 1/factor); got.worth() < 0.8*bound {
+			t.Errorf("%.1f times the capacity: worth %.2f, the most possible is %.2f", factor, got.worth(), bound)
+		}
 		if factor > 1 && float64(got.inTime) < 0.9*float64(served) {
 			t.Errorf("%.1f times the capacity: %d requests are served in time, %d at a lower load", factor, got.inTime, served)
 		}
@@ -201,10 +216,7 @@
 // Guards against a short queue limit that refuses requests in a burst that the
 // servers can absorb.
 func TestQueueLimitUnderBurst(t *testing.T) {
-	queueLimit := QueueLimit([]Kind{{Goal: 250 * time.Millisecond, ServiceTime: 72 * time.Millisecond}}, 0, 90*time.Millisecond)
-	got := replay(burst, func(candidates []Candidate, remaining time.Duration) Choice {
-		return Choose(candidates, remaining, queueLimit)
-	})
+	got := replayAt(burst, limitedChoice())
 	unlimited := replay(burst, chooseUnlimited)
 	t.Logf("%+v, worth %.3f; without the limit %+v, worth %.3f", got, got.worth(), unlimited, unlimited.worth())
 	if got.worth() < unlimited.worth()-0.01 {
--- a/internal/route/place/ranking.go
+++ b/internal/route/place/ranking.go
@@ -69,7 +69,7 @@
 	// to another region matters. Below it, one assignment of each object among
 	// all servers is best: the servers share the bursts of one region and the
 	// loss of another.
-	significantRTTShare = 0.2
+	significantRTTShare = 0.17
 	// localRegionWeight is the weight of local servers above that share: they
 	// rank first for nearly all objects, and remote ones only where there are
 	// few local ones. The assignment table evens out their load.
--- a/internal/route/place/ranking_test.go
+++ b/internal/route/place/ranking_test.go
@@ -89,8 +89,8 @@
 func TestLocalityIgnoresJitter(t *testing.T) {
 	const goal = 400 * time.Millisecond
 	var l Locality
-	first := l.Weight(74*time.Millisecond, localitySamples, goal)
-	for _, rtt := range []time.Duration{81, 78, 84, 79, 92, 76, 99} {
+	first := l.Weight(62*time.Millisecond, localitySamples, goal)
+	for _, rtt := range []time.Duration{71, 66, 73, 64, 82, 69, 84} {
 		if w := l.Weight(rtt*time.Millisecond, localitySamples, goal); w != first {
 			t.Errorf("the weight changes from %v to %v at a round trip of %d ms", first, w, rtt)
 		}
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -138,7 +138,8 @@
 	for i, srv := range order {
 		b.candidates = append(b.candidates, b.candidate(p, srv, times, i == 0, now))
 	}
-	choice := place.Choose(b.candidates, req.Deadline.Sub(now), p.queueLimit(&req, times, now))
+	queueLimit := p.overload.Limit(now, b.candidates[0].QueueTime(), p.queueLimit(&req, times, now))
+	choice := place.Choose(b.candidates, req.Deadline.Sub(now), queueLimit)
 	b.counters.Add("steer."+string(choice.Verdict), 1)
 	switch choice.Verdict {
 	case place.TooLate:
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -30,6 +30,7 @@
 	kinds map[cove.RouteName]*kind
 	// kindList is a buffer for queueLimit.
 	kindList []place.Kind
+	overload place.Overload
 }
 
 // kind is a route with requests to a pool.
