--- a/internal/limit/split/replay_test.go
+++ b/internal/limit/split/replay_test.go
@@ -84,9 +84,7 @@
 func replayLoans(domains, each int, row cove.TeamRow, length time.Duration, load demand) (refused, total int) {
 	f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter)}
 	n := &network{fleet: f}
-	for _, p := range newFleet(domains, each, row, testBound).peers {
-		f.peers = append(f.peers, p)
-	}
+	f.peers = newFleet(domains, each, row, testBound).peers
 	for _, p := range f.peers {
 		f.hosts[p.ID] = startLimiter(f.clock, p, row, networkPeers{n, p}, testBound)
 	}
