--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -284,21 +284,29 @@
 	return ap.Port() == peer.Port() && ap.Addr().Unmap() == peer.Addr().Unmap()
 }
 
-// Neighbors returns the hosts to which a message for all hosts is to be sent, and
-// whether they have to pass it on to their own neighbors.
-func (s *Service) Neighbors() (ids []cove.HostID, passOn bool) {
+// Clustered reports whether the region of this host is so large that its hosts do
+// not all exchange messages with each other.
+func (s *Service) Clustered() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.view.topology == clustered
+}
+
+// Neighbors returns the hosts to which a message for all hosts is to be sent. In a
+// clustered fleet they have to pass it on to their own neighbors.
+func (s *Service) Neighbors() []cove.HostID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []cove.HostID
 	for _, h := range s.view.neighbors(s.Clock.Now()) {
 		ids = append(ids, h.ID)
 	}
-	return ids, s.view.topology == clustered
+	return ids
 }
 
 // Broadcast sends a message to the neighbors of this host, without passing it on.
 func (s *Service) Broadcast(topic string, body any) {
-	ids, _ := s.Neighbors()
-	for _, id := range ids {
+	for _, id := range s.Neighbors() {
 		s.Send(id, topic, body)
 	}
 }
--- a/internal/fleet/beacon/sighting.go
+++ b/internal/fleet/beacon/sighting.go
@@ -1,6 +1,7 @@
 package beacon
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,10 +23,11 @@
 }
 
 const (
-	// sightingBytes is the size of an encoded sighting: the key in two bytes, then
-	// the age in units of ageUnit and, in the highest bit, whether the host is
-	// leaving.
-	sightingBytes = 3
+	// keyBytes is the size of an encoded key.
+	keyBytes = 2
+	// sightingBytes is the size of an encoded sighting: the key, then the age in
+	// units of ageUnit and, in the highest bit, whether the host is leaving.
+	sightingBytes = keyBytes + 1
 	ageUnit       = 20 * time.Millisecond
 	leavingBit    = 0x80
 	// maxSightingAge is the age from which on a host is left out. Older sightings
@@ -40,7 +42,7 @@
 	if s.leaving {
 		units |= leavingBit
 	}
-	return append(dst, byte(s.key>>8), byte(s.key), units)
+	return append(appendKey(dst, s.key), units)
 }
 
 // decodeSightings calls fn for each encoded sighting. An incomplete one at the
@@ -48,9 +50,9 @@
 func decodeSightings(data []byte, fn func(sighting)) {
 	for ; len(data) >= sightingBytes; data = data[sightingBytes:] {
 		fn(sighting{
-			key:     hostKey(data[0])<<8 | hostKey(data[1]),
-			age:     time.Duration(data[2]&^leavingBit) * ageUnit,
-			leaving: data[2]&leavingBit != 0,
+			key:     decodeKey(data),
+			age:     time.Duration(data[keyBytes]&^leavingBit) * ageUnit,
+			leaving: data[keyBytes]&leavingBit != 0,
 		})
 	}
 }
@@ -60,23 +62,24 @@
 	Domain cove.Domain `json:"domain"`
 	// AgeMillis is the time since the report was made.
 	AgeMillis int64 `json:"age"`
-	// Absent holds the keys, of two bytes each, of the registered hosts that take
-	// no callers.
+	// Absent holds the keys of the registered hosts that take no callers.
 	Absent []byte `json:"absent,omitempty"`
 }
 
 func (r *report) age() time.Duration { return time.Duration(r.AgeMillis) * time.Millisecond }
 
-func appendKey(dst []byte, k hostKey) []byte { return append(dst, byte(k>>8), byte(k)) }
+func appendKey(dst []byte, k hostKey) []byte { return binary.BigEndian.AppendUint16(dst, uint16(k)) }
 
-// keySet decodes keys of two bytes each.
+func decodeKey(data []byte) hostKey { return hostKey(binary.BigEndian.Uint16(data)) }
+
+// keySet decodes a list of keys. It is nil for an empty list.
 func keySet(data []byte) map[hostKey]bool {
-	if len(data) < 2 {
+	if len(data) < keyBytes {
 		return nil
 	}
-	set := make(map[hostKey]bool, len(data)/2)
-	for ; len(data) >= 2; data = data[2:] {
-		set[hostKey(data[0])<<8|hostKey(data[1])] = true
+	set := make(map[hostKey]bool, len(data)/keyBytes)
+	for ; len(data) >= keyBytes; data = data[keyBytes:] {
+		set[decodeKey(data)] = true
 	}
 	return set
 }
--- a/internal/fleet/beacon/view.go
+++ b/internal/fleet/beacon/view.go
@@ -183,10 +183,8 @@
 func (v *view) nextHeartbeats(now time.Time) []heartbeat {
 	var out []heartbeat
 	if v.topology != clustered {
-		for _, h := range v.sorted {
-			if h.ID != v.self.ID && v.meshed(h) {
-				out = append(out, heartbeat{to: h})
-			}
+		for _, h := range v.meshPeers() {
+			out = append(out, heartbeat{to: h})
 		}
 		return out
 	}
@@ -216,6 +214,18 @@
 	return v.topology == fleetMesh || v.topology == regionMesh && h.Region == v.self.Region
 }
 
+// meshPeers returns the hosts that exchange heartbeats with this one directly in a
+// fleet that is not clustered.
+func (v *view) meshPeers() []*hostState {
+	var out []*hostState
+	for _, h := range v.sorted {
+		if h.ID != v.self.ID && v.meshed(h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // sightings encodes what was seen of the hosts of the own failure domain.
 func (v *view) sightings(now time.Time) []byte {
 	out := make([]byte, 0, len(v.peers)*sightingBytes)
@@ -368,15 +378,10 @@
 // tree, the roots of a region know each other, and so do those of the first
 // failure domain of each region.
 func (v *view) neighbors(now time.Time) []*hostState {
-	var out []*hostState
 	if v.topology != clustered {
-		for _, h := range v.sorted {
-			if h.ID != v.self.ID && v.meshed(h) {
-				out = append(out, h)
-			}
-		}
-		return out
+		return v.meshPeers()
 	}
+	var out []*hostState
 	var live []*hostState
 	index := 0
 	for _, h := range v.domainHosts {
--- a/internal/fleet/relay/choose.go
+++ b/internal/fleet/relay/choose.go
@@ -5,11 +5,6 @@
 	"turmericcove.org/cove/internal/fleet/beacon"
 )
 
-// maxDirectReaders is the number of hosts of a region up to which all of them read
-// from the same reader. In a larger region, each failure domain has a reader of
-// its own, which reads from the reader of the region.
-const maxDirectReaders = 32
-
 // Reader returns the host from which this one reads a table. It returns false if
 // this host reads the store itself.
 func (s *Service) Reader(name string) (beacon.Host, bool) {
@@ -17,7 +12,7 @@
 	now := s.Clock.Now()
 	s.mu.Lock()
 	t := s.table(name)
-	h := chooseReader(hosts, s.Self, func(id cove.HostID) bool { return s.presumedLive(id) && !now.Before(t.suspects[id]) })
+	h := chooseReader(hosts, s.Self, s.Hosts.Clustered(), func(id cove.HostID) bool { return s.presumedLive(id) && !now.Before(t.suspects[id]) })
 	changed := h.ID != t.reader
 	t.reader = h.ID
 	s.mu.Unlock()
@@ -28,13 +23,13 @@
 }
 
 // chooseReader returns the first usable host in the order of the register: of the
-// own region or, in a large one, of the own failure domain, whose first host reads
-// from the first one of the region. Hosts with the same view of the fleet choose
+// own region or, in a clustered fleet, of the own failure domain, whose first host
+// reads from the first one of the region. Hosts with the same view of the fleet choose
 // the same reader without exchanging messages. With differing views, more hosts
 // than needed read the store themselves, which does no harm. A reader always comes
 // earlier in the order, so hosts cannot read from each other in a circle.
-func chooseReader(hosts []beacon.Host, self beacon.Host, usable func(cove.HostID) bool) beacon.Host {
-	if inTree(hosts, self) {
+func chooseReader(hosts []beacon.Host, self beacon.Host, clustered bool, usable func(cove.HostID) bool) beacon.Host {
+	if clustered {
 		sameDomain := func(h beacon.Host) bool { return h.Domain == self.Domain }
 		if h := firstUsable(hosts, self, sameDomain, usable); h.ID != self.ID {
 			return h
@@ -55,20 +50,6 @@
 	return self
 }
 
-// inTree reports whether the region is so large that its hosts read in a tree.
-func inTree(hosts []beacon.Host, self beacon.Host) bool {
-	n := 0
-	for _, h := range hosts {
-		if h.Region == self.Region {
-			n++
-		}
-	}
-	return n > maxDirectReaders
-}
-
-// InTree reports whether this host is part of a region whose hosts read in a tree.
-func (s *Service) InTree() bool { return inTree(s.Hosts.All(), s.Self) }
-
 // presumedLive reports whether a host is live. In a tree, a host that has just
 // started and has heard of nobody yet takes all registered hosts for live, so that
 // the hosts of a fleet that start together do not all read the store.
@@ -76,7 +57,7 @@
 	if s.Hosts.Live(id) {
 		return true
 	}
-	return s.Clock.Now().Sub(s.startedAt) < startupPresumption && s.InTree()
+	return s.Clock.Now().Sub(s.startedAt) < startupPresumption && s.Hosts.Clustered()
 }
 
 // markSuspect excludes a host as reader of a table for suspectDuration.
--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -130,7 +130,7 @@
 	defer cancel()
 	// A reader that has become silent would keep the request open until maxHold.
 	interval := livenessCheckInterval
-	if s.InTree() {
+	if s.Hosts.Clustered() {
 		interval = treeCheckInterval
 	}
 	watch := group.New(ctx)
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -67,6 +67,8 @@
 	Live(cove.HostID) bool
 	// HasPeerAt reports whether a registered host has its peer port at an address.
 	HasPeerAt(netip.Addr) bool
+	// Clustered reports whether the hosts of the region read in a tree.
+	Clustered() bool
 }
 
 // Service serves cached rows to other hosts and reads theirs. The zero value is
@@ -121,7 +123,7 @@
 func (s *Service) Name() string { return "relay" }
 
 // Update adds a page to the cached table. Its rows count as fresh for other hosts
-// until freshUntil, which is zero for a page that came from another host.
+// until freshUntil.
 func (s *Service) Update(name string, p Page, freshUntil time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -200,8 +202,9 @@
 func (s *Service) follow(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until := s.Clock.Now().Add(followSlack); s.table(name).freshUntil.Before(until) {
-		s.table(name).freshUntil = until
+	t := s.table(name)
+	if until := s.FollowedUntil(); t.freshUntil.Before(until) {
+		t.freshUntil = until
 	}
 }
 
@@ -217,7 +220,7 @@
 func (s *Service) waitPage(ctx context.Context, name string, after uint64, whole bool) (Page, error) {
 	now := s.Clock.Now()
 	end, staleEnd := now.Add(maxHold), now
-	if s.InTree() {
+	if s.Hosts.Clustered() {
 		staleEnd = now.Add(staleHold)
 	}
 	for {
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -23,8 +23,12 @@
 	mu     sync.Mutex
 	hosts  []beacon.Host
 	silent map[cove.HostID]bool
+	// clustered makes the hosts read in a tree.
+	clustered bool
 }
 
+func (f *fleet) Clustered() bool { return f.clustered }
+
 func (f *fleet) All() []beacon.Host { return f.hosts }
 
 func (f *fleet) Live(id cove.HostID) bool {
@@ -242,7 +246,7 @@
 		if down[h.ID] {
 			continue
 		}
-		reader := chooseReader(hosts, h, func(id cove.HostID) bool { return !down[id] })
+		reader := chooseReader(hosts, h, true, func(id cove.HostID) bool { return !down[id] })
 		if reader.ID > h.ID {
 			t.Errorf("%s reads from %s, which comes later in the order", h.ID, reader.ID)
 		}
@@ -264,11 +268,11 @@
 // its hosts wait until it has found another one.
 func TestTreeHoldsReadsWhileReaderRecovers(t *testing.T) {
 	var many []beacon.Host
-	for i := range maxDirectReaders + 1 {
+	for i := range 33 {
 		ip := netip.AddrFrom4([4]byte{127, 0, 8, byte(i + 1)})
 		many = append(many, beacon.Host{ID: cove.HostID(fmt.Sprintf("h%02d", i)), Region: "east", Domain: "east-a", Peer: netip.AddrPortFrom(ip, 7600)})
 	}
-	f := &fleet{hosts: many, silent: make(map[cove.HostID]bool)}
+	f := &fleet{hosts: many, silent: make(map[cove.HostID]bool), clustered: true}
 	s := &Service{Self: many[0], Clock: clock.System{}, Hosts: f, Counters: new(meter.Meter), Events: noEvents{}}
 	s.Update("t", Page{Whole: true, Version: 1, Rows: []Row{{Key: "k", Version: 1}}}, time.Now().Add(-time.Second))
 	time.AfterFunc(100*time.Millisecond, func() {
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -118,11 +118,12 @@
 	now := l.clock.Now()
 	groups := groupByDomain(l.peers.Peers(), l.self)
 	l.domainHosts = make(map[cove.HostID]bool)
-	for i := range groups {
-		for _, m := range groups[i].members {
-			if groups[i].local {
-				l.domainHosts[m.id] = true
-			}
+	for _, g := range groups {
+		if !g.local {
+			continue
+		}
+		for _, m := range g.members {
+			l.domainHosts[m.id] = true
 		}
 	}
 	for name, row := range l.rows {
--- a/internal/ops/direct/assignments.go
+++ b/internal/ops/direct/assignments.go
@@ -94,8 +94,7 @@
 		if len(pending) == 0 {
 			continue
 		}
-		neighbors, _ := h.Beacon.Neighbors()
-		for _, to := range neighbors {
+		for _, to := range h.Beacon.Neighbors() {
 			for updates := range slices.Chunk(updatesFor(to, pending), maxUpdatesPerMessage) {
 				h.Beacon.Send(to, assignmentTopic, updates)
 			}
@@ -115,7 +114,7 @@
 	if len(corrections) > 0 {
 		h.Beacon.Send(from, assignmentTopic, corrections)
 	}
-	if _, passOn := h.Beacon.Neighbors(); passOn && len(news) > 0 {
+	if len(news) > 0 && h.Beacon.Clustered() {
 		h.spreader.add(news, from)
 	}
 }
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -44,8 +44,8 @@
 
 // applyAssignment moves the server assigned to the request's object to the
 // front of order. It assigns one to an object that has none.
-func (b *Balancer) applyAssignment(p *pool, req *cove.RequestInfo, order []*server, now time.Time) {
-	object := b.objectKey(req)
+func (b *Balancer) applyAssignment(p *pool, req *cove.RequestInfo, localWeight float64, order []*server, now time.Time) {
+	object := b.objectKey(req, localWeight)
 	if current, ok := p.assignments.Find(object, now); ok {
 		if srv := p.byKey[current.Server]; srv != nil {
 			moveToFront(order, srv)
@@ -53,9 +53,8 @@
 		}
 	}
 	b.eligible = b.eligible[:0]
-	local := b.localWeight(req) != 1
 	for i, srv := range order {
-		if local && i >= place.MaxChoices && srv.domain.region != b.self.Region {
+		if localWeight != 1 && i >= place.MaxChoices && srv.domain.region != b.self.Region {
 			// An object that is best kept in this region leaves it only if the
 			// region has fewer servers than choices.
 			break
@@ -71,8 +70,8 @@
 // objectKey returns the key of the request's object in the assignment table.
 // Where the round trip to other regions matters, the key includes the region,
 // so that each region assigns the object to a server of its own.
-func (b *Balancer) objectKey(req *cove.RequestInfo) uint64 {
-	if b.localWeight(req) == 1 {
+func (b *Balancer) objectKey(req *cove.RequestInfo, localWeight float64) uint64 {
+	if localWeight == 1 {
 		return req.AffinityKey
 	}
 	return req.AffinityKey ^ b.regionKey
@@ -89,8 +88,7 @@
 
 // reassign assigns an object that was spilled from its loaded server to the
 // server that took it, so that it is cold there only once.
-func (b *Balancer) reassign(p *pool, req *cove.RequestInfo, to *server, now time.Time) {
-	object := b.objectKey(req)
+func (b *Balancer) reassign(p *pool, object uint64, to *server, now time.Time) {
 	current, ok := p.assignments.Find(object, now)
 	if !ok || current.Server == to.key || !current.MayMove(now) {
 		return
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -123,7 +123,8 @@
 	}
 	times := b.serviceTimes(req.Route, name)
 	times.Goal = req.Goal
-	order, total := b.rankServers(p, &req, ex, now)
+	localWeight := b.localWeight(&req)
+	order, total := b.rankServers(p, &req, localWeight, ex, now)
 	if len(order) == 0 {
 		b.counters.Add("steer.none", 1)
 		if total > 0 {
@@ -133,7 +134,7 @@
 	}
 	b.candidates = b.candidates[:0]
 	if req.AffinityKey != 0 && len(ex.Servers) == 0 {
-		b.applyAssignment(p, &req, order, now)
+		b.applyAssignment(p, &req, localWeight, order, now)
 	}
 	for i, srv := range order {
 		b.candidates = append(b.candidates, b.candidate(p, srv, times, i == 0, now))
@@ -154,7 +155,7 @@
 		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", jitter(req.ID, choice.RetryAfter))
 	}
 	if choice.Verdict == place.Spilled && req.AffinityKey != 0 && len(ex.Servers) == 0 {
-		b.reassign(p, &req, order[choice.Index], now)
+		b.reassign(p, b.objectKey(&req, localWeight), order[choice.Index], now)
 	}
 	t := b.begin(p, order[choice.Index], times, choice.Index == 0, now)
 	t.target.Basis = cove.Basis{
@@ -208,11 +209,10 @@
 
 // rankServers returns the servers that may take the request, best first, and
 // their number before cold and unhealthy ones were left out.
-func (b *Balancer) rankServers(p *pool, req *cove.RequestInfo, ex cove.Exclude, now time.Time) ([]*server, int) {
+func (b *Balancer) rankServers(p *pool, req *cove.RequestInfo, localWeight float64, ex cove.Exclude, now time.Time) ([]*server, int) {
 	var healthy, unhealthy place.Ranking
 	total := 0
 	object := req.AffinityKey
-	localWeight := b.localWeight(req)
 	for i, srv := range p.list {
 		d := srv.domain
 		if d == nil || d.evacuated || srv.row.Draining || srv.misplaced || excluded(ex, srv.row.ID) {
