Log the rate limits that backend servers name

The logs could not tell whether hosts miss the limit, react each by itself, or hear of it late.

The header of a response is now read for a limit as soon as it has arrived, and passed to admission by Permit.Responded. No decision uses the limit yet. A value that is no non-negative number changes nothing and is counted.

Test: TestRateLimitHeader.

--- a/internal/limit/admit/permit.go
+++ b/internal/limit/admit/permit.go
@@ -28,6 +28,10 @@
 // Sent implements cove.Permit.
 func (pm *permit) Sent() { pm.sent.Store(true) }
 
+// Responded implements cove.Permit. The backend servers of the default interface
+// name no limit.
+func (pm *permit) Responded(cove.RateLimit) {}
+
 // Done implements cove.Permit. Calls after the first one have no effect, so
 // that a caller that calls it twice cannot free a slot twice.
 func (pm *permit) Done(res cove.AttemptResult) {
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -257,6 +257,7 @@
 	if name := t.proxy.cfg.Dialect.RequiredHeader; name != "" && success(resp.StatusCode) && resp.Header[name] == nil {
 		return nil, t.crossed()
 	}
+	t.recordRateLimit(resp)
 	a := newAnswer(t, resp)
 	if err := a.bufferShort(); err != nil {
 		return nil, t.broken(err)
@@ -270,6 +271,20 @@
 	return a, nil
 }
 
+// recordRateLimit passes the rate limit that the response names to admission. A
+// limit that cannot be read changes nothing.
+func (t *attempt) recordRateLimit(resp *http.Response) {
+	if t.proxy.cfg.Dialect.LimitHeader == "" || t.misdirected(resp) {
+		return
+	}
+	limit, err := t.proxy.cfg.Dialect.rateLimit(resp.Header)
+	if err != nil {
+		t.proxy.Counters.Add(counterUnreadableLimits, 1)
+		return
+	}
+	t.permit.Responded(limit)
+}
+
 func success(status int) bool { return status >= 200 && status < 300 }
 
 // misdirected reports whether the request reached another backend server, which
--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -147,9 +147,10 @@
 // noPermit and noUpstream are used for responses that need no attempt.
 type noPermit struct{}
 
-func (noPermit) Target() cove.Target     { return cove.Target{} }
-func (noPermit) Sent()                   {}
-func (noPermit) Done(cove.AttemptResult) {}
+func (noPermit) Target() cove.Target      { return cove.Target{} }
+func (noPermit) Sent()                    {}
+func (noPermit) Responded(cove.RateLimit) {}
+func (noPermit) Done(cove.AttemptResult)  {}
 
 type noUpstream struct{}
 
--- a/internal/route/proxy/dialect.go
+++ b/internal/route/proxy/dialect.go
@@ -1,9 +1,13 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
+	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"turmericcove.org/cove"
 )
 
@@ -31,6 +35,9 @@
 	LoadHeader string
 	// ParseLoad parses the value of LoadHeader.
 	ParseLoad func(string) (cove.LoadReport, error)
+	// LimitHeader names the header in which a backend server names the requests
+	// per second that it takes from all hosts together, as a decimal number.
+	LimitHeader string
 	// KeepRequestID forwards the caller's request id without a random part.
 	KeepRequestID bool
 	// OmitForwardedHeaders adds no X-Forwarded-*, Forwarded or trace headers.
@@ -46,7 +53,7 @@
 func (d Dialect) withDefaults() Dialect {
 	setDefault(&d.NotRunHeader, headerNotRun)
 	setDefault(&d.AuthScheme, "Bearer")
-	for _, name := range []*string{&d.NotRunHeader, &d.ExpectedServerHeader, &d.TeamHeader, &d.RequiredHeader, &d.LoadHeader} {
+	for _, name := range []*string{&d.NotRunHeader, &d.ExpectedServerHeader, &d.TeamHeader, &d.RequiredHeader, &d.LoadHeader, &d.LimitHeader} {
 		if *name != "" {
 			*name = http.CanonicalHeaderKey(*name)
 		}
@@ -76,6 +83,22 @@
 	return ""
 }
 
+// errInvalidLimit means that a backend server named a limit that is not a number
+// of requests.
+var errInvalidLimit = errors.New("rate limit is not a non-negative number")
+
+// rateLimit returns the limit named in the headers of a response.
+func (d *Dialect) rateLimit(h http.Header) (cove.RateLimit, error) {
+	if d.LimitHeader == "" || len(h[d.LimitHeader]) == 0 {
+		return cove.RateLimit{}, nil
+	}
+	v, err := strconv.ParseFloat(strings.TrimSpace(h[d.LimitHeader][0]), 64)
+	if err != nil || math.IsInf(v, 0) || !(v >= 0) {
+		return cove.RateLimit{}, errInvalidLimit
+	}
+	return cove.RateLimit{Limited: true, PerSecond: v}, nil
+}
+
 // load returns the load reported in the headers of a response.
 func (d *Dialect) load(h http.Header) cove.LoadReport {
 	if d.LoadHeader == "" || len(h[d.LoadHeader]) == 0 || d.ParseLoad == nil {
--- a/internal/route/proxy/fakes_test.go
+++ b/internal/route/proxy/fakes_test.go
@@ -50,6 +50,8 @@
 	mu      sync.Mutex
 	next    int
 	targets []cove.Target
+	// limits holds the rate limits that responses named.
+	limits []cove.RateLimit
 	// before runs while a request waits for its permit.
 	before func()
 	open   atomic.Int64
@@ -82,6 +84,11 @@
 
 func (p *fakePermit) Target() cove.Target { return p.t }
 func (p *fakePermit) Sent()               {}
+func (p *fakePermit) Responded(l cove.RateLimit) {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	p.f.limits = append(p.f.limits, l)
+}
 func (p *fakePermit) Done(res cove.AttemptResult) {
 	if res.Silent {
 		p.f.silent.Add(1)
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -18,6 +18,9 @@
 	counterBrokenAnswers  = "proxy.brokenAnswers"
 	counterReplayed       = "proxy.replayed"
 	counterSkippedAnswers = "proxy.skippedAnswers"
+	// counterUnreadableLimits counts rate limits of backend servers that could
+	// not be read.
+	counterUnreadableLimits = "proxy.unreadableLimits"
 )
 
 // localPrefix is the prefix of paths that the entry host serves itself.
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -31,6 +31,10 @@
 	srv.load.Begin()
 	srv.health.Begin()
 	srv.liveness.Begin(now)
+	if srv.limit.Limited {
+		srv.limit.sent++
+		b.counters.Add("steer.sentToLimited", 1)
+	}
 	if now.Before(srv.coldUntil) {
 		srv.nextCold = now.Add(srv.coldInterval)
 	}
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -77,6 +77,7 @@
 	// liveness tracks whether the server still responds.
 	liveness place.Liveness
 	slowdown place.Slowdown
+	limit    serverLimit
 	// misplaced is set when another server has answered at the address. The
 	// next table clears it.
 	misplaced bool
--- a/request.go
+++ b/request.go
@@ -98,6 +98,9 @@
 	Target() Target
 	// Sent records that the first byte of the request is written.
 	Sent()
+	// Responded records that the header of the response has arrived, and the
+	// rate limit that it names.
+	Responded(RateLimit)
 	Done(res AttemptResult)
 }
 
@@ -135,6 +138,13 @@
 	Slots   int
 }
 
+// RateLimit is the number of requests per second that a backend server takes
+// from all hosts together. The zero value means that there is no limit.
+type RateLimit struct {
+	Limited   bool
+	PerSecond float64
+}
+
 // Exclude lists targets that a request has tried before.
 type Exclude struct {
 	Servers []ServerID
