Lend the token of a small bucket to other failure domains

Cause: an issuer keeps a fifth of its burst for its own failure domain, and lends whole tokens. A bucket of up to 1.25 tokens therefore never lent any to another domain.

Change: the reserve takes no more than what the bucket holds beyond a token.

Test: TestSmallBucketsLend, which fails without the change.

--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -335,7 +335,9 @@
 	t.bucket.Advance(now)
 	reserve := rate.Amount(0)
 	if !l.domainHosts[to] {
-		reserve = t.bucket.Quota().Burst.Scale(int64(lenderReserve*100), 100)
+		burst := t.bucket.Quota().Burst
+		// A bucket of little more than a token would never lend it otherwise.
+		reserve = min(burst.Scale(int64(lenderReserve*100), 100), max(0, burst-rate.Token))
 	}
 	spare := max(0, t.bucket.Level()-reserve)
 	wanted := rate.Floor(want)
--- a/internal/limit/split/split_test.go
+++ b/internal/limit/split/split_test.go
@@ -288,3 +288,17 @@
 		t.Error("a table with other teams does not recompute the shares")
 	}
 }
+
+// Guards against small buckets that never lend their tokens to other failure
+// domains: the reserve must not take the only token.
+func TestSmallBucketsLend(t *testing.T) {
+	f := newFleet(6, 1, cove.TeamRow{Name: testTeam, Rate: 6, Burst: 1}, Bound{Window: 4 * time.Second})
+	f.clock.Advance(10 * time.Second)
+	lent := 0.0
+	for _, p := range f.peers[1:] {
+		lent += f.hosts[p.ID].Lend(f.peers[0].ID, testTeam, 1)
+	}
+	if lent < 3 {
+		t.Errorf("five hosts lend %v tokens", lent)
+	}
+}
