--- a/internal/limit/split/replay_test.go
+++ b/internal/limit/split/replay_test.go
@@ -71,7 +71,7 @@
 
 // waitingRequest is a request that waits for a loan.
 type waitingRequest struct {
-	host     *Limiter
+	host     *Limiter[cove.Team]
 	deadline time.Time
 	waiting  bool
 }
@@ -82,7 +82,7 @@
 // replayLoans sends the requests of a team to hosts in domains failure domains, two
 // of them in a region, and returns how many were refused.
 func replayLoans(domains, each int, row cove.TeamRow, length time.Duration, load demand) (refused, total int) {
-	f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter)}
+	f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter[cove.Team])}
 	n := &network{fleet: f}
 	f.peers = newFleet(domains, each, row, testBound).peers
 	for _, p := range f.peers {
--- a/internal/limit/split/share.go
+++ b/internal/limit/split/share.go
@@ -12,6 +12,12 @@
 	"turmericcove.org/cove/internal/route/place"
 )
 
+// Rate is a rate and burst of requests. The zero value sets no limit.
+type Rate struct {
+	PerSecond float64
+	Burst     float64
+}
+
 // Bound is what the deployment allows all hosts together in each Window:
 // (rate × Window + burst) × (1 + Overshoot) + Slack requests.
 type Bound struct {
@@ -131,15 +137,15 @@
 // issuer holds no tokens and borrows only for requests that wait, because the
 // bursts of all such hosts would have to be subtracted from the rate of a small
 // team.
-func (b Bound) shareOf(row cove.TeamRow, groups []group, self cove.HostID) hostShare {
+func (b Bound) shareOf(name string, r Rate, groups []group, self cove.HostID) hostShare {
 	var share hostShare
 	if len(groups) == 0 {
 		return share
 	}
 	w := b.Window.Seconds()
-	total := ((row.Rate*w+row.Burst)*(1+b.Overshoot) + b.Slack) * usableFraction
+	total := ((r.PerSecond*w+r.Burst)*(1+b.Overshoot) + b.Slack) * usableFraction
 	fleetRate := total / (w + bucketSeconds)
-	team := xxhash.Sum64String(string(row.Name))
+	team := xxhash.Sum64String(name)
 	issuing := issuingGroups(groups, team, fleetRate)
 	domainRate := fleetRate / float64(len(issuing))
 	for _, i := range issuing {
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -1,5 +1,5 @@
-// Package split divides the rate of each team equally between failure domains and
-// lets hosts lend each other tokens. The share of a domain is refilled only in
+// Package split divides rates, such as that of each team, equally between failure
+// domains and lets hosts lend each other tokens. The share of a domain is refilled only in
 // the buckets of a few of its hosts, the issuers, which all hosts derive from the
 // register. A loan is taken out of the lender's bucket before it is sent, so the
 // sum over all hosts stays within the bound when hosts are partitioned, paused or
@@ -28,40 +28,44 @@
 }
 
 // Peers gives access to the registered hosts.
-type Peers interface {
+type Peers[K ~string] interface {
 	// Peers returns all registered hosts, including this one, sorted by id.
 	Peers() []Peer
 	// Live reports whether a host has been heard from recently.
 	Live(cove.HostID) bool
 	// RequestTokens sends a request for tokens and does not wait for the answer,
 	// which is to be passed to Receive. Both may get lost.
-	RequestTokens(to cove.HostID, team cove.Team, tokens float64)
+	RequestTokens(to cove.HostID, name K, tokens float64)
 }
 
-// Limiter implements cove.Limiter. Use New.
-type Limiter struct {
+// Limiter limits requests by named rates. Use New.
+type Limiter[K ~string] struct {
 	self     cove.Self
 	clock    cove.Clock
 	counters cove.Counters
-	peers    Peers
+	peers    Peers[K]
 	bound    Bound
+	// prefix begins the names of the counters.
+	prefix string
 
-	mu sync.Mutex
-	// source holds the rows of the table last applied.
-	source []cove.TeamRow
-	rows   map[cove.Team]cove.TeamRow
-	teams  map[cove.Team]*team
-	// domainHosts holds the hosts of this host's failure domain.
+	mu       sync.Mutex
+	rates    map[K]Rate
+	accounts map[K]*account
+	// groups holds the registered hosts by failure domain, domainHosts those of
+	// the failure domain of this host.
+	groups      []group
 	domainHosts map[cove.HostID]bool
 }
 
-// team is the state of one team at this host.
-type team struct {
+// account is the state of one rate at this host.
+type account struct {
 	limited bool
 	bucket  rate.Bucket
 	// issuers holds the other issuers: those of the same failure domain, then
 	// those of the same region, then all others.
 	issuers []cove.HostID
+	// wantedAt is when a request or another host last wanted tokens.
+	wantedAt time.Time
 	// nextRequestAt is when this host may request tokens again.
 	nextRequestAt time.Time
 	// asked is the number of tokens in the last request.
@@ -83,42 +87,66 @@
 	answered chan struct{}
 }
 
-var _ cove.Limiter = (*Limiter)(nil)
+// New returns a Limiter without rates. The names of its counters begin with prefix.
+func New[K ~string](self cove.Self, clock cove.Clock, peers Peers[K], counters cove.Counters, prefix string, b Bound) *Limiter[K] {
+	return &Limiter[K]{
+		self: self, clock: clock, counters: counters, peers: peers, bound: b, prefix: prefix,
+		rates: make(map[K]Rate), accounts: make(map[K]*account),
+	}
+}
 
-// New returns a Limiter that applies each new version of the tables.
-func New(self cove.Self, clock cove.Clock, tables cove.Tables, peers Peers, counters cove.Counters, b Bound) *Limiter {
-	l := &Limiter{self: self, clock: clock, counters: counters, peers: peers, bound: b, teams: make(map[cove.Team]*team)}
-	tables.Watch(l.apply)
-	return l
+// SetAll replaces all rates.
+func (l *Limiter[K]) SetAll(rates map[K]Rate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rates = rates
+	l.recomputeLocked()
 }
 
-func (l *Limiter) apply(t *cove.Table) {
+// Set sets one rate.
+func (l *Limiter[K]) Set(name K, r Rate) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.rows != nil && cove.SameSlice(l.source, t.Teams) {
-		return
+	if l.groups == nil {
+		l.groupHosts()
 	}
-	l.source = t.Teams
-	l.rows = make(map[cove.Team]cove.TeamRow, len(t.Teams))
-	for _, row := range t.Teams {
-		l.rows[row.Name] = row
-	}
-	l.recomputeLocked()
+	l.rates[name] = r
+	l.setShare(name, r, l.clock.Now())
+}
+
+// Remove removes a rate, so that its requests are no longer limited.
+func (l *Limiter[K]) Remove(name K) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.rates, name)
+	l.removeAccount(name)
 }
 
 // Recompute recomputes the shares after a change of the register.
-func (l *Limiter) Recompute() {
+func (l *Limiter[K]) Recompute() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recomputeLocked()
 }
 
-// recomputeLocked recomputes the shares of all teams. l.mu must be held.
-func (l *Limiter) recomputeLocked() {
+// recomputeLocked recomputes all shares. l.mu must be held.
+func (l *Limiter[K]) recomputeLocked() {
+	l.groupHosts()
 	now := l.clock.Now()
-	groups := groupByDomain(l.peers.Peers(), l.self)
+	for name, r := range l.rates {
+		l.setShare(name, r, now)
+	}
+	for name := range l.accounts {
+		if _, ok := l.rates[name]; !ok {
+			l.removeAccount(name)
+		}
+	}
+}
+
+func (l *Limiter[K]) groupHosts() {
+	l.groups = groupByDomain(l.peers.Peers(), l.self)
 	l.domainHosts = make(map[cove.HostID]bool)
-	for _, g := range groups {
+	for _, g := range l.groups {
 		if !g.local {
 			continue
 		}
@@ -126,22 +154,26 @@
 			l.domainHosts[m.id] = true
 		}
 	}
-	for name, row := range l.rows {
-		t := l.teams[name]
-		if t == nil {
-			t = &team{answered: make(chan struct{})}
-			l.teams[name] = t
-		}
-		t.limited = row.Rate > 0 || row.Burst > 0
-		share := l.bound.shareOf(row, groups, l.self.ID)
-		t.bucket.SetQuota(now, share.quota)
-		t.issuers = orderIssuers(share.issuers, l.self)
-		t.exhaustedUntil, t.emptyAnswers = time.Time{}, 0
+}
+
+func (l *Limiter[K]) setShare(name K, r Rate, now time.Time) {
+	t := l.accounts[name]
+	if t == nil {
+		t = &account{answered: make(chan struct{})}
+		l.accounts[name] = t
 	}
-	for name := range l.teams {
-		if _, ok := l.rows[name]; !ok {
-			delete(l.teams, name)
-		}
+	t.limited = r != Rate{}
+	share := l.bound.shareOf(string(name), r, l.groups, l.self.ID)
+	t.bucket.SetQuota(now, share.quota)
+	t.issuers = orderIssuers(share.issuers, l.self)
+	t.exhaustedUntil, t.emptyAnswers = time.Time{}, 0
+}
+
+// removeAccount removes an account and wakes the requests that wait for it.
+func (l *Limiter[K]) removeAccount(name K) {
+	if t := l.accounts[name]; t != nil {
+		delete(l.accounts, name)
+		close(t.answered)
 	}
 }
 
@@ -197,9 +229,65 @@
 	maxRetry = time.Second
 )
 
-// Take implements cove.Limiter. If the bucket holds too few tokens, it waits for a
+// TryTake takes tokens without waiting for a loan and reports whether there were
+// enough.
+func (l *Limiter[K]) TryTake(name K, cost float64) bool {
+	_, ok := l.tryTake(name, rate.Ceil(cost), time.Time{}, false)
+	return ok
+}
+
+// Return gives back tokens that were taken and not used.
+func (l *Limiter[K]) Return(name K, cost float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.accounts[name]; t != nil {
+		t.bucket.Add(rate.Ceil(cost))
+	}
+}
+
+// Level tells how many tokens an account has.
+type Level uint8
+
+// Levels of an account.
+const (
+	// Exhausted means that the issuers had no tokens a moment ago.
+	Exhausted Level = iota
+	// Empty means that there is no token at this host.
+	Empty
+	// Available means that there is a token at this host.
+	Available
+	// Surplus means that no request wanted it for surplusTime.
+	Surplus
+)
+
+// surplusTime is how long an account without demand keeps its tokens for
+// requests that are better off with them than others.
+const surplusTime = 500 * time.Millisecond
+
+// Level returns the level of an account.
+func (l *Limiter[K]) Level(name K) Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.accounts[name]
+	if t == nil || !t.limited {
+		return Surplus
+	}
+	now := l.clock.Now()
+	t.bucket.Advance(now)
+	switch {
+	case t.bucket.Level() >= rate.Token && now.Sub(t.wantedAt) >= surplusTime:
+		return Surplus
+	case t.bucket.Level() >= rate.Token:
+		return Available
+	case now.Before(t.exhaustedUntil):
+		return Exhausted
+	}
+	return Empty
+}
+
+// Take takes tokens. If the bucket holds too few tokens, it waits for a
 // loan as long as an issuer may have tokens.
-func (l *Limiter) Take(ctx context.Context, name cove.Team, cost float64) error {
+func (l *Limiter[K]) Take(ctx context.Context, name K, cost float64) error {
 	deadline := l.clock.Now().Add(loanTimeout)
 	need := rate.Ceil(cost)
 	waiting := false
@@ -232,14 +320,15 @@
 // tryTake takes tokens and reports whether there were enough. If not, it returns a
 // channel that is closed when an issuer answers, or nil if the request must be
 // refused.
-func (l *Limiter) tryTake(name cove.Team, need rate.Amount, deadline time.Time, waiting bool) (<-chan struct{}, bool) {
+func (l *Limiter[K]) tryTake(name K, need rate.Amount, deadline time.Time, waiting bool) (<-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.teams[name]
+	t := l.accounts[name]
 	if t == nil || !t.limited {
 		return nil, true
 	}
 	now := l.clock.Now()
+	t.wantedAt = now
 	if waiting && t.waitingCredit >= need {
 		t.waitingCredit -= need
 		return nil, true
@@ -265,10 +354,10 @@
 
 // endWait removes the need of a request that no longer waits. Credit beyond the
 // remaining need goes into the bucket.
-func (l *Limiter) endWait(name cove.Team, need rate.Amount) {
+func (l *Limiter[K]) endWait(name K, need rate.Amount) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.teams[name]
+	t := l.accounts[name]
 	if t == nil {
 		return
 	}
@@ -281,7 +370,7 @@
 
 // requestLoan asks an issuer for tokens if the bucket is low or requests wait for
 // tokens. It reports whether an answer can be expected. l.mu must be held.
-func (l *Limiter) requestLoan(name cove.Team, t *team, now time.Time) bool {
+func (l *Limiter[K]) requestLoan(name K, t *account, now time.Time) bool {
 	q := t.bucket.Quota()
 	shortfall := t.waitingNeed - t.waitingCredit
 	if shortfall <= 0 && (q.Rate == 0 || t.bucket.Level() > q.Burst.Scale(int64(lowLevel*100), 100)) || now.Before(t.exhaustedUntil) {
@@ -298,19 +387,19 @@
 		}
 		t.nextRequestAt = now.Add(answerTimeout)
 		t.asked = max(0, q.Burst-t.bucket.Level()) + max(0, shortfall)
-		l.counters.Add("split.asked", 1)
+		l.counters.Add(l.prefix+".asked", 1)
 		l.peers.RequestTokens(to, name, t.asked.Tokens())
 		return true
 	}
 	return false
 }
 
-func (l *Limiter) refuse(name cove.Team, cost float64) error {
+func (l *Limiter[K]) refuse(name K, cost float64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := cove.Refuse(http.StatusTooManyRequests, cove.ReasonRate, "team is over its rate")
 	r.RetryAfter = maxRetry
-	if t := l.teams[name]; t != nil {
+	if t := l.accounts[name]; t != nil {
 		if wait, possible := t.bucket.TimeUntil(rate.Ceil(cost)); possible {
 			r.RetryAfter = min(max(wait, minRetry), maxRetry)
 		}
@@ -324,14 +413,15 @@
 
 // Lend takes tokens out of this host's bucket for another host and returns how
 // many. They are not returned if the answer gets lost.
-func (l *Limiter) Lend(to cove.HostID, name cove.Team, want float64) float64 {
+func (l *Limiter[K]) Lend(to cove.HostID, name K, want float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.teams[name]
+	t := l.accounts[name]
 	if t == nil || !t.limited || !(want > 0) {
 		return 0
 	}
 	now := l.clock.Now()
+	t.wantedAt = now
 	t.bucket.Advance(now)
 	reserve := rate.Amount(0)
 	if !l.domainHosts[to] {
@@ -357,10 +447,10 @@
 // had none. Waiting requests are served first. Tokens above this host's burst are
 // discarded, so that the tokens of all hosts never exceed the sum of their
 // bursts.
-func (l *Limiter) Receive(name cove.Team, tokens float64) {
+func (l *Limiter[K]) Receive(name K, tokens float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.teams[name]
+	t := l.accounts[name]
 	if t == nil {
 		return
 	}
@@ -373,7 +463,7 @@
 		granted := min(received, max(0, t.waitingNeed-t.waitingCredit))
 		t.waitingCredit += granted
 		t.bucket.Add(received - granted)
-		l.counters.Add("split.borrowed", 1)
+		l.counters.Add(l.prefix+".borrowed", 1)
 		if received < t.asked {
 			// The issuer is down to its reserve, and would give only what it has
 			// earned since. Others may hold more.
--- a/internal/limit/split/split_test.go
+++ b/internal/limit/split/split_test.go
@@ -21,7 +21,7 @@
 type fleet struct {
 	clock *clock.Manual
 	mu    sync.Mutex
-	hosts map[cove.HostID]*Limiter
+	hosts map[cove.HostID]*Limiter[cove.Team]
 	peers []Peer
 	// dropMessage reports whether to drop the next message.
 	dropMessage func() bool
@@ -59,7 +59,7 @@
 const testTeam = cove.Team("team")
 
 func newFleet(domains, each int, row cove.TeamRow, b Bound) *fleet {
-	f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter), dropMessage: func() bool { return false }}
+	f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter[cove.Team]), dropMessage: func() bool { return false }}
 	for d := range domains {
 		for h := range each {
 			f.peers = append(f.peers, Peer{
@@ -74,15 +74,15 @@
 	return f
 }
 
-func (f *fleet) startHost(p Peer, row cove.TeamRow, b Bound) *Limiter {
+func (f *fleet) startHost(p Peer, row cove.TeamRow, b Bound) *Limiter[cove.Team] {
 	return startLimiter(f.clock, p, row, fakePeers{f, p.ID}, b)
 }
 
-func startLimiter(c cove.Clock, p Peer, row cove.TeamRow, peers Peers, b Bound) *Limiter {
+func startLimiter(c cove.Clock, p Peer, row cove.TeamRow, peers Peers[cove.Team], b Bound) *Limiter[cove.Team] {
 	tables := new(active.Tables)
 	tables.Publish(&cove.Table{Version: 1, Teams: []cove.TeamRow{row}})
 	self := cove.Self{ID: p.ID, Domain: p.Domain, Region: p.Region}
-	return New(self, c, tables, peers, new(meter.Meter), b)
+	return NewTeams(self, c, tables, peers, new(meter.Meter), b)
 }
 
 // tryTake tries once, without waiting for a loan.
@@ -221,7 +221,7 @@
 			taken := 0
 			for range int(testBound.Window / (10 * time.Millisecond)) {
 				for _, p := range f.peers {
-					for f.hosts[p.ID].takeNow() {
+					for takeNow(f.hosts[p.ID]) {
 						taken++
 					}
 				}
@@ -236,10 +236,10 @@
 }
 
 // takeNow takes a token from the host's own bucket.
-func (l *Limiter) takeNow() bool {
+func takeNow(l *Limiter[cove.Team]) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.teams[testTeam].bucket.Take(l.clock.Now(), rate.Token)
+	return l.accounts[testTeam].bucket.Take(l.clock.Now(), rate.Token)
 }
 
 // Guards against work for each pair of team and host that makes a change of the
@@ -247,7 +247,7 @@
 func BenchmarkRecompute(b *testing.B) {
 	for _, hosts := range []int{10, 78, 295, 590} {
 		b.Run(fmt.Sprint(hosts, "Hosts"), func(b *testing.B) {
-			f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter)}
+			f := &fleet{clock: &clock.Manual{}, hosts: make(map[cove.HostID]*Limiter[cove.Team])}
 			for i := range hosts {
 				f.peers = append(f.peers, Peer{ID: cove.HostID(fmt.Sprintf("h%03d", i)), Domain: cove.Domain(fmt.Sprint("d", i%9)), Region: cove.Region(fmt.Sprint("r", i%3))})
 			}
@@ -258,7 +258,7 @@
 			tables := new(active.Tables)
 			tables.Publish(table)
 			p := f.peers[0]
-			l := New(cove.Self{ID: p.ID, Domain: p.Domain, Region: p.Region}, f.clock, tables, fakePeers{f, p.ID}, new(meter.Meter), Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20})
+			l := NewTeams(cove.Self{ID: p.ID, Domain: p.Domain, Region: p.Region}, f.clock, tables, fakePeers{f, p.ID}, new(meter.Meter), Bound{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20})
 			for b.Loop() {
 				l.Recompute()
 			}
@@ -268,23 +268,25 @@
 
 // Guards against recomputing all shares with each change of the backend servers.
 func TestUnchangedTeamsAreNotRecomputed(t *testing.T) {
-	f := newFleet(2, 2, cove.TeamRow{Name: testTeam, Rate: 100, Burst: 10}, Bound{Window: 5 * time.Second})
-	l := f.hosts[f.peers[0].ID]
+	f := newFleet(2, 2, cove.TeamRow{Name: testTeam}, Bound{Window: 5 * time.Second})
+	p := f.peers[0]
+	tables, rows := new(active.Tables), []cove.TeamRow{{Name: testTeam, Rate: 100, Burst: 10}}
+	tables.Publish(&cove.Table{Version: 1, Teams: rows})
+	l := NewTeams(cove.Self{ID: p.ID, Domain: p.Domain, Region: p.Region}, f.clock, tables, fakePeers{f, p.ID}, new(meter.Meter), Bound{Window: 5 * time.Second})
 	l.mu.Lock()
-	l.teams[testTeam].exhaustedUntil = f.clock.Now().Add(time.Hour)
-	rows := l.source
+	l.accounts[testTeam].exhaustedUntil = f.clock.Now().Add(time.Hour)
 	l.mu.Unlock()
-	l.apply(&cove.Table{Version: 1, Teams: rows})
+	tables.Publish(&cove.Table{Version: 2, Teams: rows})
 	l.mu.Lock()
-	kept := !l.teams[testTeam].exhaustedUntil.IsZero()
+	kept := !l.accounts[testTeam].exhaustedUntil.IsZero()
 	l.mu.Unlock()
 	if !kept {
 		t.Error("a table with the same teams recomputes the shares")
 	}
-	l.apply(&cove.Table{Version: 2, Teams: []cove.TeamRow{{Name: testTeam, Rate: 50, Burst: 10}}})
+	tables.Publish(&cove.Table{Version: 3, Teams: []cove.TeamRow{{Name: testTeam, Rate: 50, Burst: 10}}})
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.teams[testTeam].exhaustedUntil.IsZero() {
+	if !l.accounts[testTeam].exhaustedUntil.IsZero() {
 		t.Error("a table with other teams does not recompute the shares")
 	}
 }
@@ -302,3 +304,32 @@
 		t.Errorf("five hosts lend %v tokens", lent)
 	}
 }
+
+// Guards against requests that wait for a loan of a rate that no longer exists.
+func TestRemoveWakesWaiters(t *testing.T) {
+	f := newFleet(2, 1, cove.TeamRow{Name: testTeam, Rate: 10, Burst: 1}, Bound{Window: 4 * time.Second})
+	f.dropMessage = func() bool { return true }
+	l := f.hosts[f.peers[0].ID]
+	for l.TryTake(testTeam, 1) {
+	}
+	done := make(chan error, 1)
+	go func() { done <- l.Take(context.Background(), testTeam, 1) }()
+	for range 1000 {
+		l.mu.Lock()
+		waiting := l.accounts[testTeam].waitingNeed > 0
+		l.mu.Unlock()
+		if waiting {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	l.Remove(testTeam)
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Errorf("Take() = %v without a rate", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("still waiting")
+	}
+}
--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"maps"
 	"net/netip"
@@ -46,6 +45,8 @@
 	Retry retry.Bound
 	Steer steer.Settings
 	Split split.Bound
+	// ServerLimit bounds the requests to a backend server that names a rate limit.
+	ServerLimit split.Bound
 }
 
 // Host is an entry host with its services. Use New.
@@ -57,13 +58,20 @@
 	Beacon   *beacon.Service
 	Relay    *relay.Service
 
-	runner   runner.Runner
-	spreader spreader
-	proxy    *proxy.Proxy
-	split    *split.Limiter
-	steer    *steer.Balancer
-	tasks    *group.Group
-	leaving  atomic.Bool
+	runner runner.Runner
+	// updates wakes spreadUpdates; assignments and limits are to be passed on.
+	updates     signal
+	assignments pending[steer.AssignmentUpdate]
+	limits      pending[steer.LimitUpdate]
+	// quotaRequests holds the requests for tokens of backend servers to be sent.
+	quotaRequests chan quotaRequest
+
+	proxy   *proxy.Proxy
+	split   *split.Limiter[cove.Team]
+	quotas  *split.Limiter[cove.ServerID]
+	steer   *steer.Balancer
+	tasks   *group.Group
+	leaving atomic.Bool
 }
 
 // linger is how long a leaving host keeps serving, so that callers look up
@@ -79,18 +87,24 @@
 	h.Beacon.SetHosts([]beacon.Host{o.Self})
 	h.Beacon.Handle(tokenRequestTopic, h.handleTokenRequest)
 	h.Beacon.Handle(tokenGrantTopic, h.handleTokenGrant)
+	h.Beacon.Handle(quotaRequestTopic, h.handleQuotaRequest)
+	h.Beacon.Handle(quotaGrantTopic, h.handleQuotaGrant)
 	h.Beacon.Handle(assignmentTopic, h.handleAssignments)
+	h.Beacon.Handle(limitTopic, h.handleLimits)
 	h.Beacon.Watch(func() {
 		h.split.Recompute()
+		h.quotas.Recompute()
 		h.proxy.SetRetryBudget(o.Retry.PerHost(len(h.Beacon.Registered())))
 	})
 	o.Proxy.RetryBudget = o.Retry.PerHost(1)
 	self := cove.Self{ID: o.Self.ID, Incarnation: cove.NewIncarnation(), Region: o.Self.Region, Domain: o.Self.Domain}
-	h.split = split.New(self, h.Clock, h.Tables, tokenPeers{h}, h.Counters, o.Split)
+	h.split = split.NewTeams(self, h.Clock, h.Tables, teamPeers{tokenPeers{h}}, h.Counters, o.Split)
+	h.quotas = split.New(self, h.Clock, quotaPeers{tokenPeers{h}}, h.Counters, "quota", o.ServerLimit)
 	services := []cove.Service{h.Beacon, h.Relay, &metrics{addr: o.Metrics, meter: h.Counters, events: h.Events}}
-	h.spreader.ready = make(chan struct{}, 1)
-	h.steer = steer.New(self, h.Clock, h.Tables, h.Beacon, h.Counters, h.Events, o.Steer)
-	h.steer.OnUpdate(h.spreader.wake)
+	h.updates = newSignal()
+	h.quotaRequests = make(chan quotaRequest, maxQuotaRequests)
+	h.steer = steer.New(self, h.Clock, h.Tables, h.Beacon, h.quotas, h.Counters, h.Events, o.Steer)
+	h.steer.OnUpdate(h.updates.wake)
 	var log *audit.Log
 	if o.Out != nil {
 		log = &audit.Log{Out: o.Out, Host: o.Self.ID, Clock: h.Clock, Counters: h.Counters}
@@ -127,7 +141,8 @@
 	}
 	h.tasks = group.New(context.Background())
 	h.tasks.Go(h.logCounters)
-	h.tasks.Go(h.spreadAssignments)
+	h.tasks.Go(h.spreadUpdates)
+	h.tasks.Go(h.requestQuotas)
 	return nil
 }
 
@@ -174,56 +189,3 @@
 		h.Events.Emit("counters", counterLogInterval.String(), fields...)
 	}
 }
-
-// Topics of the messages that move tokens between hosts.
-const (
-	tokenRequestTopic = "ask"
-	tokenGrantTopic   = "give"
-)
-
-// tokenMessage is the body of a request for tokens and of a grant.
-type tokenMessage struct {
-	Team   cove.Team `json:"team"`
-	Tokens float64   `json:"tokens"`
-}
-
-// tokenPeers implements split.Peers with the hosts of the beacon service.
-type tokenPeers struct{ h *Host }
-
-// Peers implements split.Peers.
-func (l tokenPeers) Peers() []split.Peer {
-	hosts := l.h.Beacon.All()
-	out := make([]split.Peer, len(hosts))
-	for i, p := range hosts {
-		out[i] = split.Peer{ID: p.ID, Region: p.Region, Domain: p.Domain}
-	}
-	return out
-}
-
-// Live implements split.Peers.
-func (l tokenPeers) Live(id cove.HostID) bool { return l.h.Beacon.Live(id) }
-
-// RequestTokens implements split.Peers.
-func (l tokenPeers) RequestTokens(to cove.HostID, team cove.Team, tokens float64) {
-	l.h.Beacon.Send(to, tokenRequestTopic, tokenMessage{team, tokens})
-}
-
-// handleTokenRequest answers a request for tokens with a grant.
-func (h *Host) handleTokenRequest(from cove.HostID, body json.RawMessage) {
-	var m tokenMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		h.Counters.Add("split.unreadable", 1)
-		return
-	}
-	h.Beacon.Send(from, tokenGrantTopic, tokenMessage{m.Team, h.split.Lend(from, m.Team, m.Tokens)})
-}
-
-// handleTokenGrant passes a grant, which may be of no tokens, to the limiter.
-func (h *Host) handleTokenGrant(_ cove.HostID, body json.RawMessage) {
-	var m tokenMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		h.Counters.Add("split.unreadable", 1)
-		return
-	}
-	h.split.Receive(m.Team, m.Tokens)
-}
--- a/internal/route/place/assignment.go
+++ b/internal/route/place/assignment.go
@@ -68,8 +68,9 @@
 
 // Server is a server that an object may be assigned to.
 type Server struct {
-	Key   uint64
-	Slots int
+	Key uint64
+	// Slots may be a fraction if the server can use only part of them.
+	Slots float64
 }
 
 // Choose returns the index of the first server, in the order of the ranking for
@@ -78,20 +79,31 @@
 func (t *AssignmentTable) Choose(servers []Server, meanPerSlot float64) int {
 	least, leastPerSlot := 0, math.Inf(1)
 	for i, s := range servers {
-		perSlot := float64(t.perServer[s.Key]) / float64(max(s.Slots, 1))
-		if perSlot < loadFactor*meanPerSlot {
+		if t.HasRoom(s, meanPerSlot) {
 			return i
 		}
-		if perSlot < leastPerSlot {
+		if perSlot := t.perSlot(s); perSlot < leastPerSlot {
 			least, leastPerSlot = i, perSlot
 		}
 	}
 	return least
 }
 
+// HasRoom reports whether a server has less than its part of the work.
+func (t *AssignmentTable) HasRoom(s Server, meanPerSlot float64) bool {
+	return t.perSlot(s) < loadFactor*meanPerSlot
+}
+
+func (t *AssignmentTable) perSlot(s Server) float64 {
+	return float64(t.perServer[s.Key]) / max(s.Slots, minSlots)
+}
+
+// minSlots prevents a division by zero.
+const minSlots = 1e-3
+
 // MeanPerSlot returns the mean work per slot with another object.
-func (t *AssignmentTable) MeanPerSlot(slots int, another Work) float64 {
-	return float64(t.total+another) / float64(max(slots, 1))
+func (t *AssignmentTable) MeanPerSlot(slots float64, another Work) float64 {
+	return float64(t.total+another) / max(slots, minSlots)
 }
 
 // Assign records an assignment made by this host and returns it for the other
--- a/internal/route/place/choose.go
+++ b/internal/route/place/choose.go
@@ -20,6 +20,9 @@
 	// estimate ranks servers but refuses no request: a route with too high an
 	// estimate would never be measured.
 	Unmeasured bool
+	// Blocked means that the server may not take the request, but keeps its object
+	// warm: it is the one that others are compared with.
+	Blocked bool
 }
 
 // QueueTime returns the expected time until a slot is free.
@@ -108,6 +111,7 @@
 		c := &candidates[i]
 		retryAfter = min(retryAfter, max(c.QueueTime()-queueLimit, c.MeanServiceTime))
 		switch {
+		case c.Blocked:
 		case c.Load >= MaxLoadPerSlot*float64(c.Slots) || c.QueueTime() > queueLimit:
 		case c.ServiceTime > preferred.ServiceTime && c.Load >= float64(c.Slots):
 		case !c.Unmeasured && c.ExpectedLatency() > remaining:
--- a/internal/route/place/choose_test.go
+++ b/internal/route/place/choose_test.go
@@ -31,8 +31,8 @@
 		verb, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
 		switch verb {
 		case "":
-		case "cand", "guess":
-			c := Candidate{Unmeasured: verb == "guess"}
+		case "cand", "guess", "blocked":
+			c := Candidate{Unmeasured: verb == "guess", Blocked: verb == "blocked"}
 			var roundTrip, serviceTime, mean string
 			if _, err := fmt.Sscan(rest, &c.Slots, &c.Load, &roundTrip, &serviceTime, &mean); err != nil {
 				t.Fatal(err)
--- a/internal/route/proxy/dialect_test.go
+++ b/internal/route/proxy/dialect_test.go
@@ -1,7 +1,12 @@
 package proxy
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"reflect"
+	"strings"
 	"testing"
 
 	"turmericcove.org/cove"
@@ -40,3 +45,54 @@
 		t.Errorf("without a name for the header: %v, %v", got, err)
 	}
 }
+
+// Guards against a limit that admission does not learn of: that of a refusal, or
+// the end of a limit; and against one that another server named at the same
+// address.
+func TestAdmissionLearnsRateLimits(t *testing.T) {
+	var status int
+	header := http.Header{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for name, values := range header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedAnswer))
+	}))
+	defer srv.Close()
+	target := cove.Target{Server: "s0", Addr: netip.MustParseAddrPort(srv.Listener.Addr().String()), Pool: "main"}
+	h := newHost(t, "a", nil, Config{Dialect: Dialect{
+		LimitHeader: "Server-Limit", NotRunHeader: "X-Not-Executed", ExpectedServerHeader: "X-Expect-Instance",
+	}}, target)
+	limited := cove.RateLimit{Limited: true, PerSecond: 2.5}
+	for _, test := range []struct {
+		name   string
+		status int
+		header http.Header
+		want   []cove.RateLimit
+	}{
+		{"named", 200, http.Header{"Server-Limit": {"2.5"}}, []cove.RateLimit{limited}},
+		{"ended", 200, http.Header{}, []cove.RateLimit{{}}},
+		{"refusal", 503, http.Header{"Server-Limit": {"2.5"}, "X-Not-Executed": {"1"}}, []cove.RateLimit{limited}},
+		{"failure", 500, http.Header{"Server-Limit": {"2.5"}}, []cove.RateLimit{limited}},
+		{"unreadable", 200, http.Header{"Server-Limit": {"few"}}, nil},
+		{"another server", 421, http.Header{"Server-Limit": {"2.5"}}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			status, header, h.admit.limits = test.status, test.header, nil
+			resp, err := http.Get(h.url + "/open/x")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			h.admit.mu.Lock()
+			defer h.admit.mu.Unlock()
+			if !reflect.DeepEqual(h.admit.limits, test.want) {
+				t.Errorf("limits %v, want %v", h.admit.limits, test.want)
+			}
+		})
+	}
+}
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -42,29 +42,43 @@
 	return place.Assignment{Object: object, Server: server, Moves: u.Moves, Work: u.Work}, nil
 }
 
-// applyAssignment moves the server assigned to the request's object to the
-// front of order. It assigns one to an object that has none.
-func (b *Balancer) applyAssignment(p *pool, req *cove.RequestInfo, localWeight float64, order []*server, now time.Time) {
-	object := b.objectKey(req, localWeight)
-	if current, ok := p.assignments.Find(object, now); ok {
-		if srv := p.byKey[current.Server]; srv != nil {
+// applyAssignment returns order with the server assigned to the request's object
+// at the front. It assigns one to an object that has none, or whose server has
+// more objects than its rate limit allows and no token left.
+func (b *Balancer) applyAssignment(c *selection, req *cove.RequestInfo, order []*server, now time.Time) []*server {
+	p, object, work := c.pool, b.objectKey(req, c.localWeight), place.WorkOf(req.Goal)
+	if srv := c.assigned; srv != nil {
+		missed := srv.limit.Limited && !slices.Contains(order, srv)
+		if !missed {
 			moveToFront(order, srv)
-			return
+			return order
+		}
+		if !b.mustMove(p, object, srv, now) {
+			c.blocked = true
+			return slices.Insert(order, 0, srv)
 		}
 	}
 	b.eligible = b.eligible[:0]
 	for i, srv := range order {
-		if localWeight != 1 && i >= place.MaxChoices && srv.domain.region != b.self.Region {
+		if c.localWeight != 1 && i >= place.MaxChoices && srv.domain.region != b.self.Region {
 			// An object that is best kept in this region leaves it only if the
 			// region has fewer servers than choices.
 			break
 		}
-		b.eligible = append(b.eligible, place.Server{Key: srv.key, Slots: srv.row.Slots})
+		b.eligible = append(b.eligible, place.Server{Key: srv.key, Slots: srv.assignableSlots()})
 	}
-	work := place.WorkOf(req.Goal)
 	srv := order[p.assignments.Choose(b.eligible, p.assignments.MeanPerSlot(p.slots, work))]
 	b.enqueueUpdate(p, p.assignments.Assign(object, srv.key, work, now))
 	moveToFront(order, srv)
+	return order
+}
+
+// mustMove reports whether an object has to leave the server that it is assigned
+// to, because that has more work than its rate limit allows.
+func (b *Balancer) mustMove(p *pool, object uint64, srv *server, now time.Time) bool {
+	current, ok := p.assignments.Find(object, now)
+	return ok && current.MayMove(now) &&
+		!p.assignments.HasRoom(place.Server{Key: srv.key, Slots: srv.assignableSlots()}, p.assignments.MeanPerSlot(p.slots, 0))
 }
 
 // objectKey returns the key of the request's object in the assignment table.
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/split"
 	"turmericcove.org/cove/internal/route/place"
 )
 
@@ -36,7 +37,9 @@
 	counters cove.Counters
 	events   cove.Events
 	hosts    Hosts
-	cfg      Settings
+	// quotas divides the rate limits that servers name between the hosts.
+	quotas *split.Limiter[cove.ServerID]
+	cfg    Settings
 	// regionKey is mixed into the keys of objects that each region assigns on
 	// its own.
 	regionKey uint64
@@ -50,7 +53,9 @@
 	candidates        []place.Candidate
 	eligible          []place.Server
 	assignmentUpdates []AssignmentUpdate
-	// onUpdate is called when assignmentUpdates grows; it may be nil.
+	limitUpdates      []LimitUpdate
+	// onUpdate is called when there are more updates for other hosts; it may be
+	// nil.
 	onUpdate func()
 }
 
@@ -77,9 +82,9 @@
 var _ cove.Admitter = (*Balancer)(nil)
 
 // New returns a Balancer that follows the tables.
-func New(self cove.Self, clock cove.Clock, tables cove.Tables, hosts Hosts, count cove.Counters, events cove.Events, cfg Settings) *Balancer {
+func New(self cove.Self, clock cove.Clock, tables cove.Tables, hosts Hosts, quotas *split.Limiter[cove.ServerID], count cove.Counters, events cove.Events, cfg Settings) *Balancer {
 	b := &Balancer{
-		self: self, clock: clock, counters: count, events: events, hosts: hosts, cfg: cfg,
+		self: self, clock: clock, counters: count, events: events, hosts: hosts, quotas: quotas, cfg: cfg,
 		pools:   make(map[cove.PoolName]*pool),
 		domains: make(map[cove.Domain]*domain),
 		routes:  make(map[cove.RouteName]*routeStats),
@@ -106,25 +111,62 @@
 	return r
 }
 
-// Admit implements cove.Admitter. It never waits: requests queue at the chosen
-// backend server, which knows best when a slot is free.
+// Admit implements cove.Admitter. It waits only for tokens of a server that names
+// a rate limit; otherwise requests queue at the chosen backend server, which knows
+// best when a slot is free.
 func (b *Balancer) Admit(ctx context.Context, pools []cove.PoolWeight, req cove.RequestInfo, ex cove.Exclude) (cove.Permit, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	name := b.choosePool(pools, &req)
+	var held tokens
+	for {
+		c, err := b.selectServer(name, &req, ex, &held)
+		if err != nil {
+			b.returnToken(&held, "")
+			return nil, err
+		}
+		if !b.takeToken(ctx, c, &held) {
+			continue
+		}
+		b.returnToken(&held, c.server.row.ID)
+		return b.admit(c, &req, ex), nil
+	}
+}
+
+// selection is the choice of a server for a request.
+type selection struct {
+	pool   *pool
+	server *server
+	// assigned is the server that the object of the request is assigned to, or nil.
+	assigned *server
+	// blocked is set if that server has no token left for the request.
+	blocked     bool
+	times       *place.ServiceTimes
+	choice      place.Choice
+	candidate   place.Candidate
+	localWeight float64
+}
+
+// selectServer chooses a server of a pool.
+func (b *Balancer) selectServer(name cove.PoolName, req *cove.RequestInfo, ex cove.Exclude, held *tokens) (*selection, error) {
+	now := b.clock.Now()
 	p := b.pools[name]
 	if p == nil {
 		b.counters.Add("steer.noPool", 1)
 		return nil, errNoServer
 	}
-	times := b.serviceTimes(req.Route, name)
-	times.Goal = req.Goal
-	localWeight := b.localWeight(&req)
-	order, total := b.rankServers(p, &req, localWeight, ex, now)
+	c := &selection{pool: p, times: b.serviceTimes(req.Route, name), localWeight: b.localWeight(req)}
+	c.times.Goal = req.Goal
+	sticky := req.AffinityKey != 0 && len(ex.Servers) == 0
+	if sticky {
+		if a, ok := p.assignments.Find(b.objectKey(req, c.localWeight), now); ok {
+			c.assigned = p.byKey[a.Server]
+		}
+	}
+	order, total := b.rankServers(c, req, ex, held, now)
 	if len(order) == 0 {
 		b.counters.Add("steer.none", 1)
 		if total > 0 {
@@ -133,37 +175,50 @@
 		return nil, errNoServer
 	}
 	b.candidates = b.candidates[:0]
-	if req.AffinityKey != 0 && len(ex.Servers) == 0 {
-		b.applyAssignment(p, &req, localWeight, order, now)
+	if sticky {
+		order = b.applyAssignment(c, req, order, now)
 	}
 	for i, srv := range order {
-		b.candidates = append(b.candidates, b.candidate(p, srv, times, i == 0, now))
+		b.candidates = append(b.candidates, b.candidate(p, srv, c.times, i == 0, now))
 	}
-	queueLimit := p.overload.Limit(now, b.candidates[0].QueueTime(), p.queueLimit(&req, times, now))
-	choice := place.Choose(b.candidates, req.Deadline.Sub(now), queueLimit)
-	b.counters.Add("steer."+string(choice.Verdict), 1)
-	switch choice.Verdict {
+	b.candidates[0].Blocked = c.blocked
+	queueLimit := p.overload.Limit(now, b.candidates[0].QueueTime(), p.queueLimit(req, c.times, now))
+	c.choice = place.Choose(b.candidates, req.Deadline.Sub(now), queueLimit)
+	switch c.choice.Verdict {
 	case place.TooLate:
-		if now.Sub(times.LastLateProbe) < lateProbeInterval {
+		if now.Sub(c.times.LastLateProbe) < lateProbeInterval {
+			b.counters.Add("steer.tooLate", 1)
 			return nil, errDeadline
 		}
 		// Without an occasional request, a decrease of the service times would
 		// not be noticed.
-		times.LastLateProbe = now
-		choice.Index = 0
+		c.times.LastLateProbe = now
+		c.choice.Index = 0
+		if c.blocked {
+			c.choice.Index = 1
+		}
 	case place.NoRoom:
-		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", jitter(req.ID, choice.RetryAfter))
+		b.counters.Add("steer.noRoom", 1)
+		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", jitter(req.ID, c.choice.RetryAfter))
 	}
-	if choice.Verdict == place.Spilled && req.AffinityKey != 0 && len(ex.Servers) == 0 {
-		b.reassign(p, b.objectKey(&req, localWeight), order[choice.Index], now)
+	c.server, c.candidate = order[c.choice.Index], b.candidates[c.choice.Index]
+	return c, nil
+}
+
+// admit records that a request is sent to the selected server.
+func (b *Balancer) admit(c *selection, req *cove.RequestInfo, ex cove.Exclude) *permit {
+	now := b.clock.Now()
+	b.counters.Add("steer."+string(c.choice.Verdict), 1)
+	if c.choice.Verdict == place.Spilled && !c.blocked && req.AffinityKey != 0 && len(ex.Servers) == 0 {
+		b.reassign(c.pool, b.objectKey(req, c.localWeight), c.server, now)
 	}
-	t := b.begin(p, order[choice.Index], times, choice.Index == 0, now)
+	t := b.begin(c.pool, c.server, c.times, c.choice.Index == 0, now)
 	t.target.Basis = cove.Basis{
-		Verdict: string(choice.Verdict), Load: b.candidates[choice.Index].Load,
-		LoadAge: order[choice.Index].load.Age(now), Finish: b.candidates[choice.Index].ExpectedLatency(),
+		Verdict: string(c.choice.Verdict), Load: c.candidate.Load,
+		LoadAge: c.server.load.Age(now), Finish: c.candidate.ExpectedLatency(),
 	}
-	t.expected = time.Duration(float64(b.candidates[choice.Index].ExpectedLatency()-b.candidates[choice.Index].RoundTrip) / order[choice.Index].slowdown.Ratio(now))
-	return t, nil
+	t.expected = time.Duration(float64(c.candidate.ExpectedLatency()-c.candidate.RoundTrip) / c.server.slowdown.Ratio(now))
+	return t
 }
 
 // lateProbeInterval is how often a request is sent although it is expected to
@@ -209,9 +264,9 @@
 
 // rankServers returns the servers that may take the request, best first, and
 // their number before cold and unhealthy ones were left out.
-func (b *Balancer) rankServers(p *pool, req *cove.RequestInfo, localWeight float64, ex cove.Exclude, now time.Time) ([]*server, int) {
+func (b *Balancer) rankServers(c *selection, req *cove.RequestInfo, ex cove.Exclude, held *tokens, now time.Time) ([]*server, int) {
 	var healthy, unhealthy place.Ranking
-	total := 0
+	p, total := c.pool, 0
 	object := req.AffinityKey
 	for i, srv := range p.list {
 		d := srv.domain
@@ -222,8 +277,8 @@
 			continue
 		}
 		total++
-		score := b.score(srv, object, localWeight, now)
-		if !srv.coldLimitAllows(now) {
+		score := b.score(p, srv, object, c.localWeight, now)
+		if !srv.coldLimitAllows(now) || !b.limitAllows(srv, srv == c.assigned, held) {
 			continue
 		}
 		if srv.health.Ejected(now) || srv.liveness.Stalled(now, p.stallTimeout()) {
@@ -267,17 +322,17 @@
 
 // score ranks the servers for an object. Without an object, the least loaded
 // nearby server is best.
-func (b *Balancer) score(srv *server, object uint64, localWeight float64, now time.Time) float64 {
+func (b *Balancer) score(p *pool, srv *server, object uint64, localWeight float64, now time.Time) float64 {
 	switch {
 	case object == 0:
 		load := srv.load.Estimate(now) / float64(max(srv.row.Slots, 1))
 		return -load - srv.domain.rtt.Seconds()
-	case localWeight == 1:
+	case localWeight == 1 && !p.limited:
 		return float64(place.Rank(object, srv.key))
 	case srv.domain.region == b.self.Region:
-		return place.Score(object, srv.key, localWeight)
+		return place.Score(object, srv.key, localWeight*srv.capacity())
 	}
-	return place.Score(object, srv.key, 1)
+	return place.Score(object, srv.key, srv.capacity())
 }
 
 func excluded(ex cove.Exclude, id cove.ServerID) bool {
--- a/internal/route/steer/balancer_test.go
+++ b/internal/route/steer/balancer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"turmericcove.org/cove/internal/core/clock"
 	"turmericcove.org/cove/internal/core/event"
 	"turmericcove.org/cove/internal/core/meter"
+	"turmericcove.org/cove/internal/limit/split"
 	"turmericcove.org/cove/internal/state/active"
 )
 
@@ -29,10 +31,47 @@
 	hosts []*Balancer
 	table *cove.Table
 	live  *active.Tables
+	// quotas holds the limiter of each host, for the limits that servers name.
+	quotas map[cove.HostID]*split.Limiter[cove.ServerID]
+	// cutOff holds the hosts whose messages are lost.
+	cutOff map[cove.HostID]bool
+}
+
+// quotaPeers lends tokens between the hosts of a fleet.
+type quotaPeers struct {
+	fleet *fleet
+	self  cove.HostID
+}
+
+func (p quotaPeers) Peers() []split.Peer {
+	var out []split.Peer
+	for i, b := range p.fleet.hosts {
+		out = append(out, split.Peer{ID: b.self.ID, Region: cove.Region(fmt.Sprint("r", i%3)), Domain: cove.Domain(fmt.Sprint("d", i%6))})
+	}
+	return out
+}
+
+func (f *fleet) host(id cove.HostID) *Balancer {
+	i := slices.IndexFunc(f.hosts, func(b *Balancer) bool { return b.self.ID == id })
+	return f.hosts[i]
+}
+
+func (p quotaPeers) Live(id cove.HostID) bool { return !p.fleet.cutOff[id] && !p.fleet.cutOff[p.self] }
+
+// RequestTokens delivers the request and the grant in a goroutine, because the
+// caller holds the lock of the limiter that gets the grant.
+func (p quotaPeers) RequestTokens(to cove.HostID, server cove.ServerID, tokens float64) {
+	go func() {
+		if u, ok := p.fleet.host(p.self).LimitUpdate(server); ok {
+			p.fleet.host(to).ApplyLimits([]LimitUpdate{u})
+		}
+		granted := p.fleet.quotas[to].Lend(p.self, server, tokens)
+		p.fleet.quotas[p.self].Receive(server, granted)
+	}()
 }
 
 func newFleet(hosts, servers int) *fleet {
-	f := &fleet{clock: &clock.Manual{}, live: new(active.Tables)}
+	f := &fleet{clock: &clock.Manual{}, live: new(active.Tables), quotas: make(map[cove.HostID]*split.Limiter[cove.ServerID])}
 	f.table = &cove.Table{
 		Version: 1,
 		Domains: []cove.DomainRow{{Name: "east-a", Region: "east"}, {Name: "west-a", Region: "west"}},
@@ -56,7 +95,9 @@
 	for _, id := range ids {
 		self := cove.Self{ID: id, Domain: "east-a", Region: "east"}
 		log := &event.Log{Host: id, Clock: f.clock, Logger: logr.Discard()}
-		f.hosts = append(f.hosts, New(self, f.clock, f.live, ids, new(meter.Meter), log, Settings{ColdOver: 1.5, ColdSlack: 5}))
+		quotas := split.New(self, f.clock, quotaPeers{f, self.ID}, new(meter.Meter), "quota", split.Bound{Window: limitWindow, Overshoot: limitOver - 1})
+		f.quotas[id] = quotas
+		f.hosts = append(f.hosts, New(self, f.clock, f.live, ids, quotas, new(meter.Meter), log, Settings{ColdOver: 1.5, ColdSlack: 5}))
 	}
 	return f
 }
--- a/internal/route/steer/ratelimit_test.go
+++ b/internal/route/steer/ratelimit_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/limit/split"
 )
 
 // limitTrial replays a load on a fleet some of whose servers name a rate limit
@@ -174,3 +176,117 @@
 		})
 	}
 }
+
+// Guards against a limit that is taken for a ban, and against one that outlives
+// its end at hosts that no longer send to the server.
+func TestLimitedServerIsUsed(t *testing.T) {
+	for _, c := range []limitTrial{
+		{hosts: 11, servers: 14, perServer: 34, limit: 6.6},
+		{hosts: 295, servers: 30, perServer: 40, limit: 6},
+	} {
+		t.Run(fmt.Sprintf("%d hosts", c.hosts), func(t *testing.T) {
+			c.begin, c.end, c.length = 2*time.Second, 18*time.Second, 26*time.Second
+			arrivals := c.run(1)
+			during, after := 0, 0
+			for _, id := range c.limited() {
+				for _, a := range arrivals[id] {
+					switch {
+					case a.at >= c.begin+limitGrace && a.at < c.end:
+						during++
+					case a.at >= c.length-limitWindow:
+						after++
+					}
+				}
+			}
+			servers := float64(len(c.limited()))
+			if got, least := float64(during)/servers, c.limit/2*(c.end-c.begin-limitGrace).Seconds(); got < least {
+				t.Errorf("%.0f requests to each limited server, want at least %.0f", got, least)
+			}
+			if got, least := float64(after)/servers, c.limit*limitWindow.Seconds(); got <= least {
+				t.Errorf("%.0f requests to each server after its limit has ended, want more than %.0f", got, least)
+			}
+		})
+	}
+}
+
+// exhaust makes a server name a limit and takes all tokens of it.
+func (f *fleet) exhaust(t *testing.T, host int, id cove.ServerID) {
+	t.Helper()
+	b := f.hosts[host]
+	b.ApplyLimits([]LimitUpdate{{Pool: testPool, Server: id, Limited: true, PerSecond: 0.5}})
+	for b.quotas.Take(context.Background(), id, 1) == nil {
+	}
+	if level := b.quotas.Level(id); level > split.Empty {
+		t.Fatalf("level of %s is %v", id, level)
+	}
+}
+
+// Guards against a request that is sent, as a probe of late responses, to the
+// server that its object is assigned to although that may not take it: because of
+// its limit, or because it is outside the home regions.
+func TestLateProbeSkipsBlockedServer(t *testing.T) {
+	f := newFleet(1, 4)
+	req := cove.RequestInfo{Route: "r", AffinityKey: 7, Goal: 500 * time.Millisecond, Deadline: f.clock.Now().Add(time.Second)}
+	admit := func() (cove.Permit, error) {
+		return f.hosts[0].Admit(context.Background(), []cove.PoolWeight{{Pool: testPool, Weight: 1}}, req, cove.Exclude{})
+	}
+	p, err := admit()
+	if err != nil {
+		t.Fatal(err)
+	}
+	assigned := p.Target()
+	p.Done(cove.AttemptResult{Status: 200, Latency: 400 * time.Millisecond})
+	f.exhaust(t, 0, assigned.Server)
+	req.Homes = []cove.Region{"east"}
+	if assigned.Domain == "east-a" {
+		req.Homes = []cove.Region{"west"}
+	}
+	f.clock.Advance(time.Millisecond)
+	req.Deadline = f.clock.Now().Add(50 * time.Millisecond)
+	if p, err = admit(); err != nil {
+		t.Fatal("no probe:", err)
+	}
+	if got := p.Target(); got.Server == assigned.Server || got.Domain == assigned.Domain {
+		t.Errorf("the probe goes to %s in %s", got.Server, got.Domain)
+	}
+}
+
+// Guards against a limit that is changed by what another host saw earlier, and
+// against messages about servers and ages that make no sense.
+func TestOlderNewsOfLimitIsIgnored(t *testing.T) {
+	f := newFleet(2, 2)
+	b := f.hosts[0]
+	f.clock.Advance(time.Hour)
+	limited := func() bool { u, _ := b.LimitUpdate("s0"); return u.Limited }
+	begun := LimitUpdate{Pool: testPool, Server: "s0", Limited: true, PerSecond: 5, AgeMillis: 100}
+	if news := b.ApplyLimits([]LimitUpdate{begun}); len(news) != 1 || !limited() {
+		t.Fatalf("news %v, limited %v", news, limited())
+	}
+	for _, u := range []LimitUpdate{
+		{Pool: testPool, Server: "s0", AgeMillis: 200},
+		{Pool: testPool, Server: "s0", AgeMillis: -5},
+		{Pool: testPool, Server: "s0", AgeMillis: 1 << 62},
+		{Pool: "other", Server: "s0"},
+		{Pool: testPool, Server: "other"},
+	} {
+		if news := b.ApplyLimits([]LimitUpdate{u}); len(news) > 0 || !limited() {
+			t.Errorf("%+v: news %v, limited %v", u, news, limited())
+		}
+	}
+	if news := b.ApplyLimits([]LimitUpdate{{Pool: testPool, Server: "s0", AgeMillis: 50}}); len(news) != 1 || limited() {
+		t.Errorf("the end is ignored: news %v", news)
+	}
+}
+
+// Guards against a limit of an earlier run of a server that holds for the next one.
+func TestRestartedServerHasNoLimit(t *testing.T) {
+	f := newFleet(1, 2)
+	f.exhaust(t, 0, "s0")
+	f.change(func(t *cove.Table) { t.Pools[0].Servers[0].Started = f.clock.Now().Add(time.Second) })
+	if u, ok := f.hosts[0].LimitUpdate("s0"); !ok || u.Limited {
+		t.Errorf("limit of the new run: %+v, %v", u, ok)
+	}
+	if level := f.hosts[0].quotas.Level("s0"); level != split.Surplus {
+		t.Errorf("level is %v", level)
+	}
+}
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -25,7 +25,10 @@
 	// there.
 	assignments place.AssignmentTable
 	byKey       map[uint64]*server
-	slots       int
+	// slots is the sum of the servers' assignable slots; limited is set while a
+	// server names a rate limit.
+	slots   float64
+	limited bool
 	// kinds holds the routes that have requests to the pool.
 	kinds map[cove.RouteName]*kind
 	// kindList is a buffer for queueLimit.
@@ -163,6 +166,11 @@
 		b.applyPool(p, row, now)
 		pools[row.Name] = p
 	}
+	for name, p := range b.pools {
+		if pools[name] == nil {
+			b.dropLimits(p.servers, nil)
+		}
+	}
 	b.pools = pools
 }
 
@@ -188,7 +196,7 @@
 	p.row = row
 	p.servers = make(map[cove.ServerID]*server, len(row.Servers))
 	p.list = p.list[:0]
-	p.byKey, p.slots = make(map[uint64]*server, len(row.Servers)), 0
+	p.byKey = make(map[uint64]*server, len(row.Servers))
 	for _, r := range row.Servers {
 		srv := old[r.ID]
 		if srv == nil || srv.row.Addr != r.Addr || !srv.row.Started.Equal(r.Started) {
@@ -209,12 +217,13 @@
 		p.list = append(p.list, srv)
 		if !r.Draining {
 			p.byKey[srv.key] = srv
-			p.slots += r.Slots
 		}
 		if now.Before(srv.coldUntil) {
 			b.assignColdSenders(p, srv)
 		}
 	}
+	b.dropLimits(old, p.servers)
+	p.countSlots()
 }
 
 func later(a, b time.Time) time.Time {
