--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -52,13 +52,22 @@
 	Removed bool   `json:"removed,omitempty"`
 }
 
+// Position is a point in the history of the store.
+type Position struct {
+	// Era rises when the store loses its latest changes. It is 0 if it is not
+	// known.
+	Era uint64 `json:"era,omitempty"`
+	// Version rises with each change within an era.
+	Version uint64 `json:"version"`
+}
+
 // Page is the result of reading a table.
 type Page struct {
 	// Rows are all rows of the table if Whole is set, else the changed ones.
 	Rows  []Row `json:"rows"`
 	Whole bool  `json:"whole"`
-	// Version is the store version up to which the rows are complete.
-	Version uint64 `json:"version"`
+	// Position is the point up to which the rows are complete.
+	Position
 }
 
 // Hosts gives the registered hosts and whether they are live.
@@ -180,7 +189,7 @@
 // page returns the rows after a version, or the whole table. It is always the
 // whole table if removed rows after that version have been dropped.
 func (t *table) page(after uint64, whole bool) Page {
-	p := Page{Whole: whole || after < t.removalsDroppedTo, Version: t.version}
+	p := Page{Whole: whole || after < t.removalsDroppedTo, Position: Position{Version: t.version}}
 	for _, r := range t.rows {
 		if p.Whole || r.Version > after {
 			p.Rows = append(p.Rows, r)
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -81,7 +81,7 @@
 }
 
 func page(whole bool, version uint64, rows ...Row) Page {
-	return Page{Rows: rows, Whole: whole, Version: version}
+	return Page{Rows: rows, Whole: whole, Position: Position{Version: version}}
 }
 
 func row(key string, version uint64) Row { return Row{Key: key, Value: []byte(key), Version: version} }
@@ -274,9 +274,9 @@
 	}
 	f := &fleet{hosts: many, silent: make(map[cove.HostID]bool), clustered: true}
 	s := &Service{Self: many[0], Clock: clock.System{}, Hosts: f, Counters: new(meter.Meter), Events: noEvents{}}
-	s.Update("t", Page{Whole: true, Version: 1, Rows: []Row{{Key: "k", Version: 1}}}, time.Now().Add(-time.Second))
+	s.Update("t", Page{Whole: true, Position: Position{Version: 1}, Rows: []Row{{Key: "k", Version: 1}}}, time.Now().Add(-time.Second))
 	time.AfterFunc(100*time.Millisecond, func() {
-		s.Update("t", Page{Version: 2, Rows: []Row{{Key: "k", Version: 2}}}, time.Now().Add(time.Minute))
+		s.Update("t", Page{Position: Position{Version: 2}, Rows: []Row{{Key: "k", Version: 2}}}, time.Now().Add(time.Minute))
 	})
 	p, err := s.waitPage(context.Background(), "t", 1, false)
 	if err != nil || len(p.Rows) != 1 || p.Version != 2 {
