Tell the eras of the store apart

Cause: versions of the store were taken for points in one history. After a restore they are given out again with other content.

Change: a position is the pair of era and version on all paths, and versions are compared within an era only. A new era makes a host read whole tables.

TestErasAreKeptApart covers the exchange between hosts.

--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -82,7 +82,7 @@
 		return
 	}
 	q := r.URL.Query()
-	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	after, err := parsePosition(q)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -105,6 +105,28 @@
 	}
 }
 
+// Parameters of a request for a page.
+const (
+	eraParam     = "era"
+	versionParam = "after"
+)
+
+// parsePosition returns the position after which rows are requested. Hosts of an
+// earlier release do not send the era.
+func parsePosition(q url.Values) (Position, error) {
+	var at Position
+	var err error
+	if at.Version, err = strconv.ParseUint(q.Get(versionParam), 10, 64); err != nil {
+		return Position{}, errors.Wrap(err, versionParam)
+	}
+	if text := q.Get(eraParam); text != "" {
+		if at.Era, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return Position{}, errors.Wrap(err, eraParam)
+		}
+	}
+	return at, nil
+}
+
 // registered reports whether an address belongs to a registered host. The tables
 // hold the keys of teams, which nobody else may read.
 func (s *Service) registered(remote string) bool {
@@ -117,7 +139,7 @@
 
 // Read reads a table from its reader. A reader that fails is excluded for
 // suspectDuration.
-func (s *Service) Read(ctx context.Context, from beacon.Host, name string, after uint64, whole bool) (Page, error) {
+func (s *Service) Read(ctx context.Context, from beacon.Host, name string, after Position, whole bool) (Page, error) {
 	p, err := s.read(ctx, from, name, after, whole)
 	if err != nil && ctx.Err() == nil {
 		s.markSuspect(from.ID, name, err)
@@ -125,7 +147,7 @@
 	return p, err
 }
 
-func (s *Service) read(ctx context.Context, from beacon.Host, name string, after uint64, whole bool) (Page, error) {
+func (s *Service) read(ctx context.Context, from beacon.Host, name string, after Position, whole bool) (Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A reader that has become silent would keep the request open until maxHold.
@@ -145,7 +167,10 @@
 		return nil
 	})
 	defer watch.Cancel()
-	q := url.Values{"name": {name}, "after": {strconv.FormatUint(after, 10)}, "whole": {strconv.FormatBool(whole)}}
+	q := url.Values{
+		"name": {name}, "whole": {strconv.FormatBool(whole)},
+		eraParam: {strconv.FormatUint(after.Era, 10)}, versionParam: {strconv.FormatUint(after.Version, 10)},
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Peer.String()+pagePath+"?"+q.Encode(), nil)
 	if err != nil {
 		return Page{}, errors.Wrap(err, "read table of another host")
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -57,10 +57,23 @@
 	// Era rises when the store loses its latest changes. It is 0 if it is not
 	// known.
 	Era uint64 `json:"era,omitempty"`
-	// Version rises with each change within an era.
+	// Version rises with each change within an era. Versions of different eras
+	// cannot be compared.
 	Version uint64 `json:"version"`
 }
 
+// SameEra reports whether the versions of two positions can be compared. An era
+// that is not known, as in a message of an older release, counts as the same.
+func (p Position) SameEra(o Position) bool { return p.Era == o.Era || p.Era == 0 || o.Era == 0 }
+
+// Before reports whether p is an earlier point than o.
+func (p Position) Before(o Position) bool {
+	if !p.SameEra(o) {
+		return p.Era < o.Era
+	}
+	return p.Version < o.Version
+}
+
 // Page is the result of reading a table.
 type Page struct {
 	// Rows are all rows of the table if Whole is set, else the changed ones.
@@ -103,7 +116,7 @@
 type table struct {
 	rows    map[string]Row
 	removed []Row
-	version uint64
+	at      Position
 	// removalsDroppedTo is the version up to which removed rows are no longer
 	// kept.
 	removalsDroppedTo uint64
@@ -123,9 +136,9 @@
 
 // encodedPage is an encoded page. Hosts that are equally far get the same one.
 type encodedPage struct {
-	after, version uint64
-	whole          bool
-	data           []byte
+	after, at Position
+	whole     bool
+	data      []byte
 }
 
 // Name implements cove.Service.
@@ -137,6 +150,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.table(name)
+	if !p.Whole && !p.SameEra(t.at) {
+		// The rows do not belong to those of the table.
+		return
+	}
 	t.freshUntil, t.storeFailed = freshUntil, false
 	if p.Whole {
 		t.rows, t.removed, t.removalsDroppedTo, t.loaded = make(map[string]Row, len(p.Rows)), nil, p.Version, true
@@ -153,8 +170,8 @@
 			t.removed = t.removed[1:]
 		}
 	}
-	if p.Version > t.version || p.Whole {
-		t.version = p.Version
+	if p.Whole || t.at.Before(p.Position) {
+		t.at = p.Position
 	}
 	t.notifyWaiters()
 }
@@ -186,12 +203,13 @@
 	return t
 }
 
-// page returns the rows after a version, or the whole table. It is always the
-// whole table if removed rows after that version have been dropped.
-func (t *table) page(after uint64, whole bool) Page {
-	p := Page{Whole: whole || after < t.removalsDroppedTo, Position: Position{Version: t.version}}
+// page returns the rows after a position, or the whole table. It is always the
+// whole table if the position is of another era or removed rows after it have been
+// dropped.
+func (t *table) page(after Position, whole bool) Page {
+	p := Page{Whole: whole || !after.SameEra(t.at) || after.Version < t.removalsDroppedTo, Position: t.at}
 	for _, r := range t.rows {
-		if p.Whole || r.Version > after {
+		if p.Whole || r.Version > after.Version {
 			p.Rows = append(p.Rows, r)
 		}
 	}
@@ -199,7 +217,7 @@
 		return p
 	}
 	for _, r := range t.removed {
-		if _, listedAgain := t.rows[r.Key]; !listedAgain && r.Version > after {
+		if _, listedAgain := t.rows[r.Key]; !listedAgain && r.Version > after.Version {
 			p.Rows = append(p.Rows, r)
 		}
 	}
@@ -224,9 +242,9 @@
 // errStale means that the rows of a host may be outdated.
 var errStale = errors.New("rows are not fresh")
 
-// waitPage returns the page after a version as soon as it holds a row, or after
-// maxHold.
-func (s *Service) waitPage(ctx context.Context, name string, after uint64, whole bool) (Page, error) {
+// waitPage returns the page after a position as soon as it holds a row, or after
+// maxHold. The rows of an era before that position are not fresh.
+func (s *Service) waitPage(ctx context.Context, name string, after Position, whole bool) (Page, error) {
 	now := s.Clock.Now()
 	end, staleEnd := now.Add(maxHold), now
 	if s.Hosts.Clustered() {
@@ -236,7 +254,7 @@
 		s.mu.Lock()
 		t := s.table(name)
 		now := s.Clock.Now()
-		fresh := t.loaded && now.Before(t.freshUntil)
+		fresh := t.loaded && now.Before(t.freshUntil) && (after.SameEra(t.at) || after.Before(t.at))
 		var p Page
 		if fresh {
 			p = t.page(after, whole)
@@ -268,12 +286,12 @@
 	}
 }
 
-// encode encodes a page that was requested after a version.
-func (s *Service) encode(name string, after uint64, p *Page) ([]byte, error) {
+// encode encodes a page that was requested after a position.
+func (s *Service) encode(name string, after Position, p *Page) ([]byte, error) {
 	s.mu.Lock()
 	e := s.table(name).encoded
 	s.mu.Unlock()
-	if e.data != nil && e.after == after && e.version == p.Version && e.whole == p.Whole {
+	if e.data != nil && e.after == after && e.at == p.Position && e.whole == p.Whole {
 		return e.data, nil
 	}
 	data, err := json.Marshal(p)
@@ -281,7 +299,7 @@
 		return nil, errors.Wrap(err, "encode page")
 	}
 	s.mu.Lock()
-	s.table(name).encoded = encodedPage{after: after, version: p.Version, whole: p.Whole, data: data}
+	s.table(name).encoded = encodedPage{after: after, at: p.Position, whole: p.Whole, data: data}
 	s.mu.Unlock()
 	return data, nil
 }
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -108,12 +108,12 @@
 	ctx, from := context.Background(), f.hosts[0]
 	a, b := hosts["a"], hosts["b"]
 	a.Update("servers", page(true, 10, row("x", 3), row("y", 7)), inOneMinute())
-	got, err := b.Read(ctx, from, "servers", 0, true)
+	got, err := b.Read(ctx, from, "servers", Position{Version: 0}, true)
 	if err != nil || !got.Whole || got.Version != 10 || len(got.Rows) != 2 {
 		t.Fatalf("whole table: %+v, %v", got, err)
 	}
 	a.Update("servers", page(false, 14, row("z", 12), Row{Key: "x", Version: 14, Removed: true}), inOneMinute())
-	got, err = b.Read(ctx, from, "servers", 10, false)
+	got, err = b.Read(ctx, from, "servers", Position{Version: 10}, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +130,7 @@
 	a.Update("config", page(true, 1), inOneMinute())
 	time.AfterFunc(100*time.Millisecond, func() { a.Update("config", page(false, 2, row("v", 2)), inOneMinute()) })
 	start := time.Now()
-	got, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", 1, false)
+	got, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", Position{Version: 1}, false)
 	if err != nil || len(got.Rows) != 1 {
 		t.Fatalf("%+v, %v", got, err)
 	}
@@ -147,7 +147,7 @@
 	const fresh = 300 * time.Millisecond
 	hosts["a"].Update("config", page(true, 1), time.Now().Add(fresh))
 	start := time.Now()
-	if _, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", 1, false); err == nil {
+	if _, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", Position{Version: 1}, false); err == nil {
 		t.Fatal("read from a stale host")
 	}
 	if took := time.Since(start); took < fresh/2 || took > 3*fresh {
@@ -166,7 +166,7 @@
 	a.Update("config", page(true, 1), inOneMinute())
 	time.AfterFunc(100*time.Millisecond, func() { a.MarkStale("config") })
 	start := time.Now()
-	if _, err := b.Read(context.Background(), f.hosts[0], "config", 1, false); err == nil {
+	if _, err := b.Read(context.Background(), f.hosts[0], "config", Position{Version: 1}, false); err == nil {
 		t.Fatal("read from a stale host")
 	}
 	if took := time.Since(start); took > time.Second {
@@ -183,7 +183,7 @@
 	hosts["a"].Update("config", page(true, 1), inOneMinute())
 	time.AfterFunc(100*time.Millisecond, func() { f.setSilent("a") })
 	start := time.Now()
-	if _, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", 1, false); err == nil {
+	if _, err := hosts["b"].Read(context.Background(), f.hosts[0], "config", Position{Version: 1}, false); err == nil {
 		t.Fatal("read from a silent host")
 	}
 	if took := time.Since(start); took > time.Second {
@@ -200,7 +200,7 @@
 	for i := range uint64(maxKeptRemovals + 10) {
 		a.Update("servers", page(false, i+2, Row{Key: fmt.Sprint("gone-", i), Version: i + 2, Removed: true}), inOneMinute())
 	}
-	got, err := hosts["b"].Read(context.Background(), f.hosts[0], "servers", 3, false)
+	got, err := hosts["b"].Read(context.Background(), f.hosts[0], "servers", Position{Version: 3}, false)
 	if err != nil || !got.Whole || len(got.Rows) != 1 {
 		t.Errorf("whole %v with %d rows, %v", got.Whole, len(got.Rows), err)
 	}
@@ -213,7 +213,7 @@
 	from := f.hosts[0]
 	// The requesting host is no longer registered.
 	f.hosts = slices.DeleteFunc(slices.Clone(f.hosts), func(h beacon.Host) bool { return h.ID == "b" })
-	if got, err := hosts["b"].Read(context.Background(), from, "config", 0, true); err == nil {
+	if got, err := hosts["b"].Read(context.Background(), from, "config", Position{Version: 0}, true); err == nil {
 		t.Errorf("an unregistered host got %+v", got)
 	}
 }
@@ -278,13 +278,48 @@
 	time.AfterFunc(100*time.Millisecond, func() {
 		s.Update("t", Page{Position: Position{Version: 2}, Rows: []Row{{Key: "k", Version: 2}}}, time.Now().Add(time.Minute))
 	})
-	p, err := s.waitPage(context.Background(), "t", 1, false)
+	p, err := s.waitPage(context.Background(), "t", Position{Version: 1}, false)
 	if err != nil || len(p.Rows) != 1 || p.Version != 2 {
 		t.Errorf("page %+v, error %v; want the row of version 2", p, err)
 	}
 	s.MarkStale("t")
 	begun := time.Now()
-	if _, err := s.waitPage(context.Background(), "t", 2, false); !errors.Is(err, errStale) || time.Since(begun) > staleHold/2 {
+	if _, err := s.waitPage(context.Background(), "t", Position{Version: 2}, false); !errors.Is(err, errStale) || time.Since(begun) > staleHold/2 {
 		t.Errorf("a reader that cannot reach the store answers %v after %v, want %v at once", err, time.Since(begun), errStale)
 	}
 }
+
+// Guards against rows of an earlier era of the store that are served as those of
+// the current one, as its versions are given out again: from the encoded page, from
+// the table, or to a host that has read on.
+func TestErasAreKeptApart(t *testing.T) {
+	f, hosts := newFleet(t)
+	a, b := hosts["a"], hosts["b"]
+	read := func(after Position) (Page, error) {
+		return b.Read(context.Background(), f.hosts[0], "config", after, false)
+	}
+	write := func(whole bool, at Position, value string) {
+		a.Update("config", Page{Whole: whole, Position: at, Rows: []Row{{Key: "k", Value: []byte(value), Version: at.Version}}}, inOneMinute())
+	}
+	write(true, Position{Era: 1, Version: 5}, "first")
+	write(false, Position{Era: 1, Version: 6}, "lost")
+	if p, err := read(Position{Era: 1, Version: 5}); err != nil || string(p.Rows[0].Value) != "lost" {
+		t.Fatalf("page %+v, error %v", p, err)
+	}
+	write(true, Position{Era: 2, Version: 5}, "first")
+	write(false, Position{Era: 1, Version: 9}, "late")
+	write(false, Position{Era: 2, Version: 6}, "again")
+	p, err := read(Position{Era: 2, Version: 5})
+	if err != nil || len(p.Rows) != 1 || string(p.Rows[0].Value) != "again" || p.Position != (Position{Era: 2, Version: 6}) {
+		t.Errorf("page %+v, error %v", p, err)
+	}
+	if p, err = read(Position{Era: 1, Version: 6}); err != nil || !p.Whole || string(p.Rows[0].Value) != "again" {
+		t.Errorf("page for a host of the earlier era: %+v, error %v", p, err)
+	}
+	if p, err = read(Position{Version: 5}); err != nil || p.Whole {
+		t.Errorf("page for a host of an earlier release: %+v, error %v", p, err)
+	}
+	if p, err = read(Position{Era: 3, Version: 1}); err == nil {
+		t.Errorf("a host that is ahead gets %+v", p)
+	}
+}
