Ask hosts of other regions for tokens in fleets of 17 hosts and more

What callers saw: at 78 hosts with limited servers a fifth of the requests was refused while the servers got 77 to 137 of the 340 requests a second that they named.

Cause: from 17 hosts on, up to 32 a region, heartbeats stay within the region. The hosts of other regions then count as not live, and issuers of tokens there were never asked. The same held for the rates of teams, which have issuers in each region. Besides, an issuer that did not answer was asked again and again.

Change: for tokens, hosts that this one cannot hear of are presumed live (beacon.PresumedLive), and an issuer that does not answer in 100 ms is passed over.

Tests: TestOtherRegionsArePresumedLive, TestUnansweredIssuerIsPassedOver.

--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -342,6 +342,15 @@
 	return h != nil && s.view.alive(h, s.Clock.Now())
 }
 
+// PresumedLive reports whether a host may be asked for something: unlike Live, it
+// is true of hosts whose heartbeats do not reach this one.
+func (s *Service) PresumedLive(id cove.HostID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.view.hosts[id]
+	return h != nil && s.view.presumedLive(h, s.Clock.Now())
+}
+
 // HasPeerAt reports whether an address belongs to the peer port of a registered
 // host.
 func (s *Service) HasPeerAt(addr netip.Addr) bool {
--- a/internal/fleet/beacon/view.go
+++ b/internal/fleet/beacon/view.go
@@ -365,6 +365,12 @@
 	return now.Sub(d.reportedAt) < reportTimeout && !d.absent[h.key]
 }
 
+// presumedLive reports whether a host is live as far as this host can know: in a
+// regionMesh, those of other regions are not heard of.
+func (v *view) presumedLive(h *hostState, now time.Time) bool {
+	return v.topology == regionMesh && !v.meshed(h) || v.alive(h, now)
+}
+
 // acceptsCallers reports whether another host accepts new callers.
 func (v *view) acceptsCallers(h *hostState, now time.Time) bool {
 	if v.topology == regionMesh && !v.meshed(h) {
--- a/internal/fleet/beacon/view_test.go
+++ b/internal/fleet/beacon/view_test.go
@@ -254,3 +254,22 @@
 		})
 	}
 }
+
+// Guards against hosts of other regions that are never asked for anything, because
+// in fleets of this size their heartbeats do not reach this host.
+func TestOtherRegionsArePresumedLive(t *testing.T) {
+	s := newSimulation(6, 10)
+	s.run(3*time.Second, func() {})
+	v := s.views[0]
+	if v.topology != regionMesh {
+		t.Fatalf("topology %d", v.topology)
+	}
+	s.down[1], s.down[len(s.hosts)-1] = true, true
+	s.run(3*time.Second, func() {})
+	if v.presumedLive(v.hosts[s.hosts[1].ID], s.now) {
+		t.Error("a host of the own region counts as live 3 s after it was killed")
+	}
+	if id := s.hosts[len(s.hosts)-2].ID; !v.presumedLive(v.hosts[id], s.now) {
+		t.Errorf("%s in another region does not count as live", id)
+	}
+}
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -68,8 +68,10 @@
 	wantedAt time.Time
 	// nextRequestAt is when this host may request tokens again.
 	nextRequestAt time.Time
-	// asked is the number of tokens in the last request.
-	asked rate.Amount
+	// asked is the number of tokens in the last request, unanswered is set until
+	// its answer.
+	asked      rate.Amount
+	unanswered bool
 	// nextIssuer is the index into issuers, modulo its length, of the issuer to
 	// ask next.
 	nextIssuer int
@@ -379,6 +381,10 @@
 	if now.Before(t.nextRequestAt) {
 		return len(t.issuers) > 0
 	}
+	if t.unanswered {
+		// The issuer may be down or cut off.
+		t.nextIssuer++
+	}
 	for range t.issuers {
 		to := t.issuers[t.nextIssuer%len(t.issuers)]
 		if !l.peers.Live(to) {
@@ -386,6 +392,7 @@
 			continue
 		}
 		t.nextRequestAt = now.Add(answerTimeout)
+		t.unanswered = true
 		t.asked = max(0, q.Burst-t.bucket.Level()) + max(0, shortfall)
 		l.counters.Add(l.prefix+".asked", 1)
 		l.peers.RequestTokens(to, name, t.asked.Tokens())
@@ -455,7 +462,7 @@
 		return
 	}
 	now := l.clock.Now()
-	t.nextRequestAt = now
+	t.nextRequestAt, t.unanswered = now, false
 	if tokens > 0 {
 		t.emptyAnswers = 0
 		t.bucket.Advance(now)
--- a/internal/limit/split/split_test.go
+++ b/internal/limit/split/split_test.go
@@ -333,3 +333,25 @@
 		t.Error("still waiting")
 	}
 }
+
+// Guards against requests that ask an issuer again and again that is down.
+func TestUnansweredIssuerIsPassedOver(t *testing.T) {
+	f := newFleet(4, 1, cove.TeamRow{Name: testTeam, Rate: 40, Burst: 1}, Bound{Window: 4 * time.Second})
+	l := f.hosts[f.peers[0].ID]
+	f.dropMessage = func() bool { return true }
+	asked := make(map[cove.HostID]bool)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[testTeam]
+	for range a.issuers {
+		a.bucket.Remove(a.bucket.Level())
+		if !l.requestLoan(testTeam, a, f.clock.Now()) {
+			t.Fatal("no request")
+		}
+		asked[a.issuers[a.nextIssuer%len(a.issuers)]] = true
+		f.clock.Advance(answerTimeout)
+	}
+	if len(asked) != len(a.issuers) {
+		t.Errorf("%d of %d issuers are asked", len(asked), len(a.issuers))
+	}
+}
--- a/internal/ops/direct/tokens.go
+++ b/internal/ops/direct/tokens.go
@@ -47,7 +47,7 @@
 }
 
 // Live implements split.Peers.
-func (l tokenPeers) Live(id cove.HostID) bool { return l.h.Beacon.Live(id) }
+func (l tokenPeers) Live(id cove.HostID) bool { return l.h.Beacon.PresumedLive(id) }
 
 // teamPeers implements split.Peers for the rates of teams.
 type teamPeers struct{ tokenPeers }
