Use more of the limits that backend servers name

Causes, from counters and the log of placements: tokens of a limit of some requests a second lay in many buckets, one token each, and lapsed where nobody wanted them, while others asked an empty issuer; objects that left a limited server never came to one again, as only servers with a token at hand were eligible; a request that expected no gain from warmth did not wait for the answer of an issuer; and the part of the slots that a limit allows was worked out once, before the service times were known.

TestLimitedServerIsUsed took objects that do not return for a limit that does not end; it now asks each host that got a response after the end, which is what it guards against. New: TestObjectsAreAssignedToLimitedServers, TestLimitedCapacity.

--- a/internal/limit/split/share.go
+++ b/internal/limit/split/share.go
@@ -24,6 +24,11 @@
 	Window    time.Duration
 	Overshoot float64
 	Slack     float64
+	// DomainRate is the least rate in tokens per second of a failure domain that
+	// issues tokens, unless it is the only one. In few domains there is more often
+	// a token left; in many, each has some while it is cut off. Zero means
+	// defaultDomainRate.
+	DomainRate float64
 }
 
 const (
@@ -32,6 +37,8 @@
 	usableFraction = 0.94
 	// bucketSeconds is the burst of an issuer in seconds of its rate.
 	bucketSeconds = 1.0
+	// defaultDomainRate lets each bucket of a team accumulate whole tokens.
+	defaultDomainRate = 1.0
 	// minIssuerRate is the least rate of an issuer in tokens per second, unless it
 	// is the only one of its failure domain. It limits the number of issuers, so
 	// that each of them accumulates whole tokens.
@@ -115,12 +122,15 @@
 // issuingGroups returns the indexes of the groups that issue tokens of a team. A
 // team of a low rate has them in few groups, so that each of their buckets holds
 // a whole token; more whole tokens than the rate allows would exceed the bound.
-func issuingGroups(groups []group, team uint64, fleetRate float64) []int {
+func issuingGroups(groups []group, team uint64, fleetRate, domainRate float64) []int {
 	out := make([]int, len(groups))
 	for i := range out {
 		out[i] = i
 	}
-	n := max(1, int(fleetRate*bucketSeconds))
+	if domainRate <= 0 {
+		domainRate = defaultDomainRate
+	}
+	n := max(1, int(fleetRate*bucketSeconds/domainRate))
 	if n >= len(groups) {
 		return out
 	}
@@ -146,7 +156,7 @@
 	total := ((r.PerSecond*w+r.Burst)*(1+b.Overshoot) + b.Slack) * usableFraction
 	fleetRate := total / (w + bucketSeconds)
 	team := xxhash.Sum64String(name)
-	issuing := issuingGroups(groups, team, fleetRate)
+	issuing := issuingGroups(groups, team, fleetRate, b.DomainRate)
 	domainRate := fleetRate / float64(len(issuing))
 	for _, i := range issuing {
 		n := max(1, min(len(groups[i].members), int(domainRate/minIssuerRate)))
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -59,7 +59,7 @@
 		}
 	}
 	b.eligible = b.eligible[:0]
-	for i, srv := range order {
+	for i, srv := range p.assignable {
 		if c.localWeight != 1 && i >= place.MaxChoices && srv.domain.region != b.self.Region {
 			// An object that is best kept in this region leaves it only if the
 			// region has fewer servers than choices.
@@ -67,8 +67,12 @@
 		}
 		b.eligible = append(b.eligible, place.Server{Key: srv.key, Slots: srv.assignableSlots()})
 	}
-	srv := order[p.assignments.Choose(b.eligible, p.assignments.MeanPerSlot(p.slots, work))]
+	srv := p.assignable[p.assignments.Choose(b.eligible, p.assignments.MeanPerSlot(p.slots, work))]
 	b.enqueueUpdate(p, p.assignments.Assign(object, srv.key, work, now))
+	c.assigned = srv
+	if !slices.Contains(order, srv) {
+		return slices.Insert(order, 0, srv)
+	}
 	moveToFront(order, srv)
 	return order
 }
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -167,7 +167,7 @@
 		}
 	}
 	order, total := b.rankServers(c, req, ex, held, now)
-	if len(order) == 0 {
+	if len(order) == 0 && !(sticky && len(p.assignable) > 0) {
 		b.counters.Add("steer.none", 1)
 		if total > 0 {
 			return nil, refuse(cove.ReasonNoRoom, "no backend server is ready for the request", jitter(req.ID, noServerRetryAfter))
@@ -263,9 +263,10 @@
 }
 
 // rankServers returns the servers that may take the request, best first, and
-// their number before cold and unhealthy ones were left out.
+// their number before cold and unhealthy ones were left out. It sets the pool's
+// assignable servers.
 func (b *Balancer) rankServers(c *selection, req *cove.RequestInfo, ex cove.Exclude, held *tokens, now time.Time) ([]*server, int) {
-	var healthy, unhealthy place.Ranking
+	var healthy, unhealthy, assignable place.Ranking
 	p, total := c.pool, 0
 	object := req.AffinityKey
 	for i, srv := range p.list {
@@ -278,14 +279,25 @@
 		}
 		total++
 		score := b.score(p, srv, object, c.localWeight, now)
-		if !srv.coldLimitAllows(now) || !b.limitAllows(srv, srv == c.assigned, held) {
+		level := b.limitLevel(srv, held)
+		if level == split.Exhausted || !srv.coldLimitAllows(now) {
 			continue
 		}
+		usable := level == split.Surplus || srv == c.assigned
 		if srv.health.Ejected(now) || srv.liveness.Stalled(now, p.stallTimeout()) {
-			unhealthy.Add(i, score)
+			if usable {
+				unhealthy.Add(i, score)
+			}
 			continue
 		}
-		healthy.Add(i, score)
+		assignable.Add(i, score)
+		if usable {
+			healthy.Add(i, score)
+		}
+	}
+	p.assignable = p.assignable[:0]
+	for _, i := range assignable.Indexes() {
+		p.assignable = append(p.assignable, p.list[i])
 	}
 	p.order = p.order[:0]
 	for _, i := range healthy.Indexes() {
@@ -297,6 +309,9 @@
 		for _, i := range unhealthy.Indexes() {
 			p.order = append(p.order, p.list[i])
 		}
+		if len(p.assignable) == 0 {
+			p.assignable = append(p.assignable, p.order...)
+		}
 	}
 	return p.order, total
 }
--- a/internal/route/steer/ratelimit.go
+++ b/internal/route/steer/ratelimit.go
@@ -44,6 +44,8 @@
 	// minLimit is the least rate in requests per second that is divided between
 	// the hosts. With none, they would never learn that the limit has ended.
 	minLimit = 0.25
+	// minTokenWait covers the answer of an issuer in another region.
+	minTokenWait = 100 * time.Millisecond
 	// maxLimitAge bounds the age of what another host tells of a limit.
 	maxLimitAge = time.Minute
 )
@@ -74,6 +76,10 @@
 	l := &srv.limit
 	l.observed = at
 	if l.Limited == limit.Limited && math.Abs(l.PerSecond-limit.PerSecond) <= limitTolerance*l.PerSecond {
+		if c := p.limitedCapacity(srv); l.Limited && c != l.capacity {
+			l.capacity = c
+			p.countSlots()
+		}
 		return false
 	}
 	now := b.clock.Now()
@@ -90,13 +96,19 @@
 			b.events.Emit("server.limited", source, limitFields(p, srv, limit.PerSecond)...)
 		}
 		l.RateLimit = limit
-		l.capacity = place.LimitedCapacity(limit.PerSecond, srv.row.Slots, p.times.Estimate(true))
+		l.capacity = p.limitedCapacity(srv)
 		b.quotas.Set(srv.row.ID, split.Rate{PerSecond: max(limit.PerSecond, minLimit)})
 	}
 	p.countSlots()
 	return true
 }
 
+// limitedCapacity returns the part of its slots that a server's limit lets all
+// hosts use, by the times measured so far.
+func (p *pool) limitedCapacity(srv *server) float64 {
+	return place.LimitedCapacity(srv.limit.PerSecond, srv.row.Slots, p.times.Estimate(true))
+}
+
 // dropLimits forgets the limits of servers that are no longer listed.
 func (b *Balancer) dropLimits(old, listed map[cove.ServerID]*server) {
 	for id, srv := range old {
@@ -127,23 +139,17 @@
 	}
 }
 
-// limitAllows reports whether a request may go to a server in view of its rate
-// limit. Only the server that its object is assigned to is worth waiting for a
-// loan of tokens.
-func (b *Balancer) limitAllows(srv *server, assigned bool, tokens *tokens) bool {
-	if !srv.limit.Limited || srv.row.ID == tokens.held {
-		return true
-	}
-	if slices.Contains(tokens.missed, srv.row.ID) {
-		return false
-	}
-	switch b.quotas.Level(srv.row.ID) {
-	case split.Surplus:
-		return true
-	case split.Available, split.Empty:
-		return assigned
+// limitLevel returns what is left of the rate limit of a server for the request
+// that holds the given tokens. Only the server that its object is assigned to is
+// worth waiting for a loan; others need a surplus.
+func (b *Balancer) limitLevel(srv *server, held *tokens) split.Level {
+	switch {
+	case !srv.limit.Limited || srv.row.ID == held.held:
+		return split.Surplus
+	case slices.Contains(held.missed, srv.row.ID):
+		return split.Exhausted
 	}
-	return false
+	return b.quotas.Level(srv.row.ID)
 }
 
 // tokens is the state of one admission with regard to rate limits.
@@ -171,7 +177,7 @@
 	}
 	// A request that waits longer is as well off at a server where its object is
 	// cold.
-	saved := c.times.Estimate(false) - c.times.Estimate(true)
+	saved := max(c.times.Estimate(false)-c.times.Estimate(true), minTokenWait)
 	b.mu.Unlock()
 	defer b.mu.Lock()
 	ctx, cancel := context.WithTimeout(ctx, saved)
--- a/internal/route/steer/ratelimit_test.go
+++ b/internal/route/steer/ratelimit_test.go
@@ -21,6 +21,8 @@
 	limit     float64
 	// begin and end are when the limit is named, length is the end of the trial.
 	begin, end, length time.Duration
+	// fleet is set by run.
+	fleet *fleet
 }
 
 const (
@@ -32,7 +34,8 @@
 
 // arrival is a request that a server got.
 type arrival struct {
-	at time.Duration
+	at   time.Duration
+	host int
 	// told is when its host had first passed on a response with the limit, or
 	// negative if it had not.
 	told time.Duration
@@ -72,6 +75,7 @@
 // the hosts.
 func (c *limitTrial) run(seed uint64) map[cove.ServerID][]arrival {
 	f := newFleet(c.hosts, c.servers)
+	c.fleet = f
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	limited := make(map[cove.ServerID]bool)
 	for _, id := range c.limited() {
@@ -115,7 +119,7 @@
 		if err != nil {
 			continue
 		}
-		a := arrival{at: now, told: -1}
+		a := arrival{at: now, host: host, told: -1}
 		if at, ok := told[known{host, p.Target().Server}]; ok {
 			a.told = at
 		}
@@ -193,8 +197,11 @@
 					switch {
 					case a.at >= c.begin+limitGrace && a.at < c.end:
 						during++
-					case a.at >= c.length-limitWindow:
+					case a.at >= c.end && a.at+trialService < c.length:
 						after++
+						if u, _ := c.fleet.hosts[a.host].LimitUpdate(id); u.Limited {
+							t.Errorf("host %d still counts %s as limited", a.host, id)
+						}
 					}
 				}
 			}
@@ -202,8 +209,8 @@
 			if got, least := float64(during)/servers, c.limit/2*(c.end-c.begin-limitGrace).Seconds(); got < least {
 				t.Errorf("%.0f requests to each limited server, want at least %.0f", got, least)
 			}
-			if got, least := float64(after)/servers, c.limit*limitWindow.Seconds(); got <= least {
-				t.Errorf("%.0f requests to each server after its limit has ended, want more than %.0f", got, least)
+			if got, least := float64(after)/servers, c.limit/2*(c.length-c.end).Seconds(); got < least {
+				t.Errorf("%.0f requests to each server after its limit has ended, want at least %.0f", got, least)
 			}
 		})
 	}
@@ -290,3 +297,32 @@
 		t.Errorf("level is %v", level)
 	}
 }
+
+// Guards against objects that leave limited servers and never come to one again,
+// because this host has no token of theirs at hand.
+func TestObjectsAreAssignedToLimitedServers(t *testing.T) {
+	f := newFleet(40, 8)
+	b := f.hosts[0]
+	p, err := f.admit(0, 1000, cove.Exclude{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Done(cove.AttemptResult{Status: 200, Latency: 100 * time.Millisecond})
+	for i := range 6 {
+		b.ApplyLimits([]LimitUpdate{{Pool: testPool, Server: cove.ServerID(fmt.Sprint("s", i)), Limited: true, PerSecond: 20}})
+	}
+	f.clock.Advance(10 * time.Second)
+	limited := 0
+	for object := uint64(1); object <= 200; object++ {
+		if permit, err := f.admit(0, object, cove.Exclude{}); err == nil {
+			permit.Done(okResult)
+		}
+		p := b.pools[testPool]
+		if a, ok := p.assignments.Find(object, f.clock.Now()); ok && p.byKey[a.Server].limit.Limited {
+			limited++
+		}
+	}
+	if limited < 50 {
+		t.Errorf("%d of 200 objects are assigned to the six limited servers", limited)
+	}
+}
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -19,6 +19,10 @@
 	list []*server
 	// order is the result of rankServers, reused by each call.
 	order []*server
+	// assignable holds the servers that an object of the request may be assigned
+	// to, best first. Unlike order it has those with a rate limit whose tokens have
+	// to be borrowed.
+	assignable []*server
 	// times are the service times over all routes.
 	times place.ServiceTimes
 	// assignments maps objects to servers; byKey finds a server by its key
