--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -121,17 +121,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	name := b.choosePool(pools, &req)
-	var held tokens
+	var tok tokens
 	for {
-		c, err := b.selectServer(name, &req, ex, &held)
+		c, err := b.selectServer(name, &req, ex, &tok)
 		if err != nil {
-			b.returnToken(&held, "")
+			b.returnToken(&tok, "")
 			return nil, err
 		}
-		if !b.takeToken(ctx, c, &held) {
+		if !b.takeToken(ctx, c, &tok) {
 			continue
 		}
-		b.returnToken(&held, c.server.row.ID)
+		b.returnToken(&tok, c.server.row.ID)
 		return b.admit(c, &req, ex), nil
 	}
 }
@@ -151,7 +151,7 @@
 }
 
 // selectServer chooses a server of a pool.
-func (b *Balancer) selectServer(name cove.PoolName, req *cove.RequestInfo, ex cove.Exclude, held *tokens) (*selection, error) {
+func (b *Balancer) selectServer(name cove.PoolName, req *cove.RequestInfo, ex cove.Exclude, tok *tokens) (*selection, error) {
 	now := b.clock.Now()
 	p := b.pools[name]
 	if p == nil {
@@ -166,7 +166,7 @@
 			c.assigned = p.byKey[a.Server]
 		}
 	}
-	order, total := b.rankServers(c, req, ex, held, now)
+	order, total := b.rankServers(c, req, ex, tok, now)
 	if len(order) == 0 && !(sticky && len(p.assignable) > 0) {
 		b.counters.Add("steer.none", 1)
 		if total > 0 {
@@ -265,7 +265,7 @@
 // rankServers returns the servers that may take the request, best first, and
 // their number before cold and unhealthy ones were left out. It sets the pool's
 // assignable servers.
-func (b *Balancer) rankServers(c *selection, req *cove.RequestInfo, ex cove.Exclude, held *tokens, now time.Time) ([]*server, int) {
+func (b *Balancer) rankServers(c *selection, req *cove.RequestInfo, ex cove.Exclude, tok *tokens, now time.Time) ([]*server, int) {
 	var healthy, unhealthy, assignable place.Ranking
 	p, total := c.pool, 0
 	object := req.AffinityKey
@@ -279,7 +279,7 @@
 		}
 		total++
 		score := b.score(p, srv, object, c.localWeight, now)
-		level := b.limitLevel(srv, held)
+		level := b.limitLevel(srv, tok)
 		if level == split.Exhausted || !srv.coldLimitAllows(now) {
 			continue
 		}
--- a/internal/route/steer/ratelimit.go
+++ b/internal/route/steer/ratelimit.go
@@ -142,11 +142,11 @@
 // limitLevel returns what is left of the rate limit of a server for the request
 // that holds the given tokens. Only the server that its object is assigned to is
 // worth waiting for a loan; others need a surplus.
-func (b *Balancer) limitLevel(srv *server, held *tokens) split.Level {
+func (b *Balancer) limitLevel(srv *server, tok *tokens) split.Level {
 	switch {
-	case !srv.limit.Limited || srv.row.ID == held.held:
+	case !srv.limit.Limited || srv.row.ID == tok.heldFor:
 		return split.Surplus
-	case slices.Contains(held.missed, srv.row.ID):
+	case slices.Contains(tok.missed, srv.row.ID):
 		return split.Exhausted
 	}
 	return b.quotas.Level(srv.row.ID)
@@ -154,8 +154,8 @@
 
 // tokens is the state of one admission with regard to rate limits.
 type tokens struct {
-	// held is the server of a token that is not used yet, or empty.
-	held cove.ServerID
+	// heldFor is the server of a token that is not used yet, or empty.
+	heldFor cove.ServerID
 	// missed holds the servers that had no token for the request.
 	missed []cove.ServerID
 }
@@ -163,16 +163,16 @@
 // takeToken takes a token for the chosen server, if that names a limit, and reports
 // whether the request may be sent. If not, the choice has to be made again. It may
 // wait for a loan, without b.mu.
-func (b *Balancer) takeToken(ctx context.Context, c *selection, t *tokens) bool {
+func (b *Balancer) takeToken(ctx context.Context, c *selection, tok *tokens) bool {
 	id := c.server.row.ID
-	if !c.server.limit.Limited || id == t.held {
+	if !c.server.limit.Limited || id == tok.heldFor {
 		return true
 	}
 	if b.quotas.TryTake(id, 1) {
 		return true
 	}
 	if c.server != c.assigned {
-		t.missed = append(t.missed, id)
+		tok.missed = append(tok.missed, id)
 		return false
 	}
 	// A request that waits longer is as well off at a server where its object is
@@ -185,17 +185,17 @@
 	if err := b.quotas.Take(ctx, id, 1); err != nil {
 		// The refusal concerns this server only.
 		b.counters.Add("steer.limitReached", 1)
-		t.missed = append(t.missed, id)
+		tok.missed = append(tok.missed, id)
 		return false
 	}
-	t.held = id
+	tok.heldFor = id
 	return false
 }
 
 // returnToken gives back a held token, unless it is the one for used.
-func (b *Balancer) returnToken(t *tokens, used cove.ServerID) {
-	if t.held != "" && t.held != used {
-		b.quotas.Return(t.held, 1)
+func (b *Balancer) returnToken(tok *tokens, used cove.ServerID) {
+	if tok.heldFor != "" && tok.heldFor != used {
+		b.quotas.Return(tok.heldFor, 1)
 	}
 }
 
