Give each host of TestLoopback a loopback address of its own

The test ends a host and starts it again on its port; meanwhile an outgoing connection of another test had taken it.

Each host has its own address in 127.3.0.0/16 now, on which nothing else connects. What the test checks is unchanged.

--- a/internal/fleet/member/loopback_test.go
+++ b/internal/fleet/member/loopback_test.go
@@ -99,10 +99,17 @@
 	_ = d.port.Stop(ended)
 }
 
-// freeAddr returns a loopback address with an unused port.
+// nextIP counts the loopback addresses that tests have used.
+var nextIP atomic.Uint32
+
+// freeAddr returns an unused port on a loopback address of its own. On 127.0.0.1, an
+// outgoing connection may take the port before the host listens on it or while it
+// is down.
 func freeAddr(tb testing.TB) netip.AddrPort {
 	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	i := nextIP.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, 3, byte(i >> 8), byte(i)})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		tb.Fatal(err)
 	}
