Read over the change: hot path, rates that set no limit, one place for sticky

A response of a server without a limit worked out the part of its slots that a limit would allow; it no longer does. A rate with negative values counted as a limit since limit/split takes any rate, before it set none; that is restored. Whether a request follows assignments was worked out twice.

--- a/internal/limit/split/share.go
+++ b/internal/limit/split/share.go
@@ -12,7 +12,7 @@
 	"turmericcove.org/cove/internal/route/place"
 )
 
-// Rate is a rate and burst of requests. The zero value sets no limit.
+// Rate is a rate and burst of requests. Without a positive value it sets no limit.
 type Rate struct {
 	PerSecond float64
 	Burst     float64
--- a/internal/limit/split/split.go
+++ b/internal/limit/split/split.go
@@ -164,7 +164,7 @@
 		t = &account{answered: make(chan struct{})}
 		l.accounts[name] = t
 	}
-	t.limited = r != Rate{}
+	t.limited = r.PerSecond > 0 || r.Burst > 0
 	share := l.bound.shareOf(string(name), r, l.groups, l.self.ID)
 	t.bucket.SetQuota(now, share.quota)
 	t.issuers = orderIssuers(share.issuers, l.self)
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		b.returnToken(&tok, c.server.row.ID)
-		return b.admit(c, &req, ex), nil
+		return b.admit(c, &req), nil
 	}
 }
 
@@ -140,6 +140,8 @@
 type selection struct {
 	pool   *pool
 	server *server
+	// sticky is set for the first attempt of a request for an object.
+	sticky bool
 	// assigned is the server that the object of the request is assigned to, or nil.
 	assigned *server
 	// blocked is set if that server has no token left for the request.
@@ -160,14 +162,14 @@
 	}
 	c := &selection{pool: p, times: b.serviceTimes(req.Route, name), localWeight: b.localWeight(req)}
 	c.times.Goal = req.Goal
-	sticky := req.AffinityKey != 0 && len(ex.Servers) == 0
-	if sticky {
+	c.sticky = req.AffinityKey != 0 && len(ex.Servers) == 0
+	if c.sticky {
 		if a, ok := p.assignments.Find(b.objectKey(req, c.localWeight), now); ok {
 			c.assigned = p.byKey[a.Server]
 		}
 	}
 	order, total := b.rankServers(c, req, ex, tok, now)
-	if len(order) == 0 && !(sticky && len(p.assignable) > 0) {
+	if len(order) == 0 && !(c.sticky && len(p.assignable) > 0) {
 		b.counters.Add("steer.none", 1)
 		if total > 0 {
 			return nil, refuse(cove.ReasonNoRoom, "no backend server is ready for the request", jitter(req.ID, noServerRetryAfter))
@@ -175,7 +177,7 @@
 		return nil, errNoServer
 	}
 	b.candidates = b.candidates[:0]
-	if sticky {
+	if c.sticky {
 		order = b.applyAssignment(c, req, order, now)
 	}
 	for i, srv := range order {
@@ -206,10 +208,10 @@
 }
 
 // admit records that a request is sent to the selected server.
-func (b *Balancer) admit(c *selection, req *cove.RequestInfo, ex cove.Exclude) *permit {
+func (b *Balancer) admit(c *selection, req *cove.RequestInfo) *permit {
 	now := b.clock.Now()
 	b.counters.Add("steer."+string(c.choice.Verdict), 1)
-	if c.choice.Verdict == place.Spilled && !c.blocked && req.AffinityKey != 0 && len(ex.Servers) == 0 {
+	if c.choice.Verdict == place.Spilled && c.sticky && !c.blocked {
 		b.reassign(c.pool, b.objectKey(req, c.localWeight), c.server, now)
 	}
 	t := b.begin(c.pool, c.server, c.times, c.choice.Index == 0, now)
--- a/internal/route/steer/ratelimit.go
+++ b/internal/route/steer/ratelimit.go
@@ -76,9 +76,8 @@
 	l := &srv.limit
 	l.observed = at
 	if l.Limited == limit.Limited && math.Abs(l.PerSecond-limit.PerSecond) <= limitTolerance*l.PerSecond {
-		if c := p.limitedCapacity(srv); l.Limited && c != l.capacity {
-			l.capacity = c
-			p.countSlots()
+		if l.Limited {
+			p.refreshCapacity(srv)
 		}
 		return false
 	}
@@ -109,6 +108,14 @@
 	return place.LimitedCapacity(srv.limit.PerSecond, srv.row.Slots, p.times.Estimate(true))
 }
 
+// refreshCapacity adapts the capacity of a limited server to the measured times.
+func (p *pool) refreshCapacity(srv *server) {
+	if c := p.limitedCapacity(srv); c != srv.limit.capacity {
+		srv.limit.capacity = c
+		p.countSlots()
+	}
+}
+
 // dropLimits forgets the limits of servers that are no longer listed.
 func (b *Balancer) dropLimits(old, listed map[cove.ServerID]*server) {
 	for id, srv := range old {
