Log what servers say of leaving in their responses

Permit.Responded gets all that a server says of itself in a header. Requests are placed as before. TestAdmissionLearnsRateLimits is renamed to TestAdmissionLearnsServerStatus: an unreadable limit is now reported as such instead of not at all, and still changes no limit.

--- a/internal/limit/admit/permit.go
+++ b/internal/limit/admit/permit.go
@@ -30,7 +30,7 @@
 
 // Responded implements cove.Permit. The backend servers of the default interface
 // name no limit.
-func (pm *permit) Responded(cove.RateLimit) {}
+func (pm *permit) Responded(cove.ServerStatus) {}
 
 // Done implements cove.Permit. Calls after the first one have no effect, so
 // that a caller that calls it twice cannot free a slot twice.
--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -114,7 +114,7 @@
 		Status:   a.resp.StatusCode,
 		Latency:  a.latency,
 		Err:      err,
-		Draining: a.resp.Header[headerDraining] != nil,
+		Draining: a.attempt.proxy.cfg.Dialect.draining(a.resp.Header),
 		Load:     a.attempt.proxy.cfg.Dialect.load(a.resp.Header),
 		Connect:  a.attempt.connectTime,
 		Bytes:    a.bytesRead + a.attempt.exchange.body.bytesSent(),
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -257,7 +257,7 @@
 	if name := t.proxy.cfg.Dialect.RequiredHeader; name != "" && success(resp.StatusCode) && resp.Header[name] == nil {
 		return nil, t.crossed()
 	}
-	t.recordRateLimit(resp)
+	t.reportStatus(resp)
 	a := newAnswer(t, resp)
 	if err := a.bufferShort(); err != nil {
 		return nil, t.broken(err)
@@ -271,18 +271,16 @@
 	return a, nil
 }
 
-// recordRateLimit passes the rate limit that the response names to admission. A
-// limit that cannot be read changes nothing.
-func (t *attempt) recordRateLimit(resp *http.Response) {
-	if t.proxy.cfg.Dialect.LimitHeader == "" || t.misdirected(resp) {
+// reportStatus passes what the backend server says of itself to admission.
+func (t *attempt) reportStatus(resp *http.Response) {
+	if t.misdirected(resp) {
 		return
 	}
-	limit, err := t.proxy.cfg.Dialect.rateLimit(resp.Header)
+	status, err := t.proxy.cfg.Dialect.status(resp.Header)
 	if err != nil {
 		t.proxy.Counters.Add(counterUnreadableLimits, 1)
-		return
 	}
-	t.permit.Responded(limit)
+	t.permit.Responded(status)
 }
 
 func success(status int) bool { return status >= 200 && status < 300 }
--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -147,10 +147,10 @@
 // noPermit and noUpstream are used for responses that need no attempt.
 type noPermit struct{}
 
-func (noPermit) Target() cove.Target      { return cove.Target{} }
-func (noPermit) Sent()                    {}
-func (noPermit) Responded(cove.RateLimit) {}
-func (noPermit) Done(cove.AttemptResult)  {}
+func (noPermit) Target() cove.Target         { return cove.Target{} }
+func (noPermit) Sent()                       {}
+func (noPermit) Responded(cove.ServerStatus) {}
+func (noPermit) Done(cove.AttemptResult)     {}
 
 type noUpstream struct{}
 
@@ -176,7 +176,7 @@
 		cancel()
 		return nil, errOwnerUnreachable
 	}
-	if err := restoreAnswer(resp); err != nil {
+	if err := p.restoreAnswer(resp); err != nil {
 		cancel()
 		// The body of a refusal is empty.
 		_ = resp.Body.Close()
--- a/internal/route/proxy/dialect.go
+++ b/internal/route/proxy/dialect.go
@@ -38,6 +38,9 @@
 	// LimitHeader names the header in which a backend server names the requests
 	// per second that it takes from all hosts together, as a decimal number.
 	LimitHeader string
+	// DrainingHeader names the header of all responses of a backend server that
+	// is about to leave.
+	DrainingHeader string
 	// KeepRequestID forwards the caller's request id without a random part.
 	KeepRequestID bool
 	// OmitForwardedHeaders adds no X-Forwarded-*, Forwarded or trace headers.
@@ -52,8 +55,9 @@
 
 func (d Dialect) withDefaults() Dialect {
 	setDefault(&d.NotRunHeader, headerNotRun)
+	setDefault(&d.DrainingHeader, headerDraining)
 	setDefault(&d.AuthScheme, "Bearer")
-	for _, name := range []*string{&d.NotRunHeader, &d.ExpectedServerHeader, &d.TeamHeader, &d.RequiredHeader, &d.LoadHeader, &d.LimitHeader} {
+	for _, name := range []*string{&d.NotRunHeader, &d.ExpectedServerHeader, &d.TeamHeader, &d.RequiredHeader, &d.LoadHeader, &d.LimitHeader, &d.DrainingHeader} {
 		if *name != "" {
 			*name = http.CanonicalHeaderKey(*name)
 		}
@@ -87,6 +91,17 @@
 // of requests.
 var errInvalidLimit = errors.New("rate limit is not a non-negative number")
 
+// status returns what a backend server says of itself in the headers of a
+// response. It returns an error if the limit in it cannot be read.
+func (d *Dialect) status(h http.Header) (cove.ServerStatus, error) {
+	limit, err := d.rateLimit(h)
+	return cove.ServerStatus{Limit: limit, LimitUnreadable: err != nil, Draining: d.draining(h)}, err
+}
+
+// draining reports whether a response is of a backend server that is about to
+// leave.
+func (d *Dialect) draining(h http.Header) bool { return h[d.DrainingHeader] != nil }
+
 // rateLimit returns the limit named in the headers of a response.
 func (d *Dialect) rateLimit(h http.Header) (cove.RateLimit, error) {
 	if d.LimitHeader == "" || len(h[d.LimitHeader]) == 0 {
--- a/internal/route/proxy/dialect_test.go
+++ b/internal/route/proxy/dialect_test.go
@@ -46,10 +46,10 @@
 	}
 }
 
-// Guards against a limit that admission does not learn of: that of a refusal, or
-// the end of a limit; and against one that another server named at the same
-// address.
-func TestAdmissionLearnsRateLimits(t *testing.T) {
+// Guards against a limit or a planned end of a server that admission does not learn
+// of: that of a refusal, or the end of a limit; and against one that another server
+// named at the same address.
+func TestAdmissionLearnsServerStatus(t *testing.T) {
 	var status int
 	header := http.Header{}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -62,24 +62,28 @@
 	defer srv.Close()
 	target := cove.Target{Server: "s0", Addr: netip.MustParseAddrPort(srv.Listener.Addr().String()), Pool: "main"}
 	h := newHost(t, "a", nil, Config{Dialect: Dialect{
-		LimitHeader: "Server-Limit", NotRunHeader: "X-Not-Executed", ExpectedServerHeader: "X-Expect-Instance",
+		LimitHeader: "Server-Limit", DrainingHeader: "Server-Leaving", NotRunHeader: "X-Not-Executed", ExpectedServerHeader: "X-Expect-Instance",
 	}}, target)
-	limited := cove.RateLimit{Limited: true, PerSecond: 2.5}
+	limited := cove.ServerStatus{Limit: cove.RateLimit{Limited: true, PerSecond: 2.5}}
+	leaving := http.Header{"Server-Leaving": {"1"}}
 	for _, test := range []struct {
 		name   string
 		status int
 		header http.Header
-		want   []cove.RateLimit
+		want   []cove.ServerStatus
 	}{
-		{"named", 200, http.Header{"Server-Limit": {"2.5"}}, []cove.RateLimit{limited}},
-		{"ended", 200, http.Header{}, []cove.RateLimit{{}}},
-		{"refusal", 503, http.Header{"Server-Limit": {"2.5"}, "X-Not-Executed": {"1"}}, []cove.RateLimit{limited}},
-		{"failure", 500, http.Header{"Server-Limit": {"2.5"}}, []cove.RateLimit{limited}},
-		{"unreadable", 200, http.Header{"Server-Limit": {"few"}}, nil},
+		{"named", 200, http.Header{"Server-Limit": {"2.5"}}, []cove.ServerStatus{limited}},
+		{"ended", 200, http.Header{}, []cove.ServerStatus{{}}},
+		{"refusal", 503, http.Header{"Server-Limit": {"2.5"}, "X-Not-Executed": {"1"}}, []cove.ServerStatus{limited}},
+		{"failure", 500, http.Header{"Server-Limit": {"2.5"}}, []cove.ServerStatus{limited}},
+		{"unreadable", 200, http.Header{"Server-Limit": {"few"}}, []cove.ServerStatus{{LimitUnreadable: true}}},
 		{"another server", 421, http.Header{"Server-Limit": {"2.5"}}, nil},
+		{"leaving", 200, leaving, []cove.ServerStatus{{Draining: true}}},
+		{"leaving, refusal", 503, http.Header{"Server-Leaving": {"1"}, "X-Not-Executed": {"1"}}, []cove.ServerStatus{{Draining: true}}},
+		{"another server leaving", 421, leaving, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			status, header, h.admit.limits = test.status, test.header, nil
+			status, header, h.admit.statuses = test.status, test.header, nil
 			resp, err := http.Get(h.url + "/open/x")
 			if err != nil {
 				t.Fatal(err)
@@ -90,8 +94,8 @@
 			_ = resp.Body.Close()
 			h.admit.mu.Lock()
 			defer h.admit.mu.Unlock()
-			if !reflect.DeepEqual(h.admit.limits, test.want) {
-				t.Errorf("limits %v, want %v", h.admit.limits, test.want)
+			if !reflect.DeepEqual(h.admit.statuses, test.want) {
+				t.Errorf("statuses %v, want %v", h.admit.statuses, test.want)
 			}
 		})
 	}
--- a/internal/route/proxy/fakes_test.go
+++ b/internal/route/proxy/fakes_test.go
@@ -50,8 +50,8 @@
 	mu      sync.Mutex
 	next    int
 	targets []cove.Target
-	// limits holds the rate limits that responses named.
-	limits []cove.RateLimit
+	// statuses holds what responses said of their servers.
+	statuses []cove.ServerStatus
 	// before runs while a request waits for its permit.
 	before func()
 	open   atomic.Int64
@@ -84,10 +84,10 @@
 
 func (p *fakePermit) Target() cove.Target { return p.t }
 func (p *fakePermit) Sent()               {}
-func (p *fakePermit) Responded(l cove.RateLimit) {
+func (p *fakePermit) Responded(s cove.ServerStatus) {
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
-	p.f.limits = append(p.f.limits, l)
+	p.f.statuses = append(p.f.statuses, s)
 }
 func (p *fakePermit) Done(res cove.AttemptResult) {
 	if res.Silent {
--- a/internal/route/proxy/hop.go
+++ b/internal/route/proxy/hop.go
@@ -189,7 +189,7 @@
 		return nil, res.err
 	}
 	u.resp = res.resp
-	return u.resp, restoreAnswer(u.resp)
+	return u.resp, u.attempt.proxy.restoreAnswer(u.resp)
 }
 
 func (u *hopUpstream) finish(complete bool) {
@@ -239,7 +239,7 @@
 
 // restoreAnswer restores the backend server's response from the response of an
 // entry host. It returns a hopRefusal if the host refused the request.
-func restoreAnswer(resp *http.Response) error {
+func (p *Proxy) restoreAnswer(resp *http.Response) error {
 	h := resp.Header
 	if reason := h.Get(hopReason); reason != "" {
 		return &hopRefusal{readHopRefusal(resp.StatusCode, cove.Reason(reason), h)}
@@ -253,7 +253,7 @@
 		h["Content-Length"] = length
 	}
 	if h.Get(hopDraining) != "" {
-		h[headerDraining] = []string{"1"}
+		h[p.cfg.Dialect.DrainingHeader] = []string{"1"}
 	}
 	return nil
 }
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -151,7 +151,7 @@
 func wrapHopAnswer(h http.Header, a *answer) int {
 	status := a.resp.StatusCode
 	h[hopStatus] = []string{strconv.Itoa(status)}
-	if a.resp.Header[headerDraining] != nil {
+	if a.attempt.proxy.cfg.Dialect.draining(a.resp.Header) {
 		h[hopDraining] = []string{"1"}
 	}
 	if echo := a.resp.Header[headerRequestID]; echo != nil {
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -31,6 +31,9 @@
 	srv.load.Begin()
 	srv.health.Begin()
 	srv.liveness.Begin(now)
+	if srv.saidDraining {
+		b.counters.Add("steer.sentToDraining", 1)
+	}
 	if srv.limit.Limited {
 		srv.limit.sent++
 		b.counters.Add("steer.sentToLimited", 1)
@@ -50,6 +53,24 @@
 // Sent implements cove.Permit.
 func (t *permit) Sent() {}
 
+// Responded implements cove.Permit.
+func (t *permit) Responded(status cove.ServerStatus) {
+	b := t.b
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.pool.servers[t.server.row.ID] != t.server {
+		// Another run of the server has taken its place.
+		return
+	}
+	if status.Draining {
+		b.recordDraining(t.pool, t.server)
+	}
+	if !status.LimitUnreadable {
+		b.recordLimit(t.pool, t.server, status.Limit, now)
+	}
+}
+
 // Done implements cove.Permit.
 func (t *permit) Done(res cove.AttemptResult) {
 	b := t.b
--- a/internal/route/steer/ratelimit.go
+++ b/internal/route/steer/ratelimit.go
@@ -50,23 +50,16 @@
 	maxLimitAge = time.Minute
 )
 
-// Responded implements cove.Permit.
-func (t *permit) Responded(limit cove.RateLimit) {
-	b := t.b
-	now := b.clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t.pool.servers[t.server.row.ID] != t.server {
-		// Another run of the server has taken its place.
+// recordLimit records the limit that a server named in a response.
+func (b *Balancer) recordLimit(p *pool, srv *server, limit cove.RateLimit, now time.Time) {
+	if !b.setLimit(p, srv, limit, now, "response") {
 		return
 	}
-	if b.setLimit(t.pool, t.server, limit, now, "response") {
-		b.limitUpdates = append(b.limitUpdates, LimitUpdate{
-			Pool: t.pool.row.Name, Server: t.server.row.ID, Limited: limit.Limited, PerSecond: limit.PerSecond,
-		})
-		if b.onUpdate != nil {
-			b.onUpdate()
-		}
+	b.limitUpdates = append(b.limitUpdates, LimitUpdate{
+		Pool: p.row.Name, Server: srv.row.ID, Limited: limit.Limited, PerSecond: limit.PerSecond,
+	})
+	if b.onUpdate != nil {
+		b.onUpdate()
 	}
 }
 
--- a/internal/route/steer/ratelimit_test.go
+++ b/internal/route/steer/ratelimit_test.go
@@ -100,7 +100,7 @@
 			r := heap.Pop(&pending).(response)
 			advance(max(r.at, now))
 			names := limited[r.server] && now >= c.begin && now < c.end
-			r.permit.Responded(cove.RateLimit{Limited: names, PerSecond: c.limit})
+			r.permit.Responded(cove.ServerStatus{Limit: cove.RateLimit{Limited: names, PerSecond: c.limit}})
 			r.permit.Done(cove.AttemptResult{Status: 200, Latency: trialService, Load: cove.LoadReport{Running: 1, Slots: 5}})
 			k := known{r.host, r.server}
 			if _, ok := told[k]; names && !ok {
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -88,6 +88,8 @@
 	// misplaced is set when another server has answered at the address. The
 	// next table clears it.
 	misplaced bool
+	// saidDraining is set when the server has said that it is about to leave.
+	saidDraining bool
 	// coldSender reports that this host may send to the server while it is
 	// cold; coldInterval is the minimum time between two requests then.
 	coldSender   bool
--- a/request.go
+++ b/request.go
@@ -98,9 +98,9 @@
 	Target() Target
 	// Sent records that the first byte of the request is written.
 	Sent()
-	// Responded records that the header of the response has arrived, and the
-	// rate limit that it names.
-	Responded(RateLimit)
+	// Responded records that the header of the response has arrived, and what
+	// the backend server says of itself in it.
+	Responded(ServerStatus)
 	Done(res AttemptResult)
 }
 
@@ -138,6 +138,16 @@
 	Slots   int
 }
 
+// ServerStatus is what a backend server says of itself in the header of a
+// response.
+type ServerStatus struct {
+	Limit RateLimit
+	// LimitUnreadable means that the server named a limit that cannot be read.
+	LimitUnreadable bool
+	// Draining means that the server is about to leave.
+	Draining bool
+}
+
 // RateLimit is the number of requests per second that a backend server takes
 // from all hosts together. The zero value means that there is no limit.
 type RateLimit struct {
