Send nothing to a server that has said that it leaves

Cause: admission took a server for leaving only if its entry in the store said so. The class of fault: what a server says of itself in a response is news of its own, and was taken for a copy of the table.

Change: a host that reads the sign sends that run of the server nothing more and assigns it no objects. Another run of the server is not meant.

--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -49,6 +49,9 @@
 	domains map[cove.Domain]*domain
 	routes  map[cove.RouteName]*routeStats
 	senders hostKeys
+	// drainingRuns holds the runs of servers that have said that they leave, with
+	// the time at which they were last listed.
+	drainingRuns map[serverRun]time.Time
 	// candidates and eligible are buffers, reused by each call.
 	candidates        []place.Candidate
 	eligible          []place.Server
@@ -89,6 +92,8 @@
 		domains: make(map[cove.Domain]*domain),
 		routes:  make(map[cove.RouteName]*routeStats),
 
+		drainingRuns: make(map[serverRun]time.Time),
+
 		regionKey: xxhash.Sum64String(string(self.Region)),
 	}
 	tables.Watch(b.apply)
@@ -273,7 +278,7 @@
 	object := req.AffinityKey
 	for i, srv := range p.list {
 		d := srv.domain
-		if d == nil || d.evacuated || srv.row.Draining || srv.misplaced || excluded(ex, srv.row.ID) {
+		if d == nil || d.evacuated || srv.draining() || srv.misplaced || excluded(ex, srv.row.ID) {
 			continue
 		}
 		if !allowsRegion(req.Homes, d.region) || !allowsRegion(req.TeamHomes, d.region) {
--- /dev/null
+++ b/internal/route/steer/draining_test.go
@@ -0,0 +1,137 @@
+package steer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+var drainingStatus = cove.ServerStatus{Draining: true}
+
+// sentTo returns how many of n requests for different objects host 0 sends to the
+// server.
+func (f *fleet) sentTo(t *testing.T, id cove.ServerID, n int) int {
+	t.Helper()
+	sent := 0
+	for object := range uint64(n) {
+		f.clock.Advance(10 * time.Millisecond)
+		p, err := f.admit(0, object, cove.Exclude{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Target().Server == id {
+			sent++
+		}
+		p.Done(okResult)
+	}
+	return sent
+}
+
+// sayDraining makes a server say in a response to host 0 that it leaves.
+func (f *fleet) sayDraining(t *testing.T, id cove.ServerID) {
+	t.Helper()
+	for object := uint64(1); object < 1000; object++ {
+		p, err := f.admit(0, object, cove.Exclude{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Target().Server == id {
+			p.Responded(drainingStatus)
+			p.Done(okResult)
+			return
+		}
+		p.Done(okResult)
+	}
+	t.Fatalf("no request reached %s", id)
+}
+
+// Guards against requests to a server that has said that it leaves: at once, and
+// after its entry, its pool or its failure domain has been away for a while. Another
+// run of the server is not meant.
+func TestServerGetsRequestsAfterItSaidItDrains(t *testing.T) {
+	const id = cove.ServerID("s0")
+	var row cove.Server
+	for _, c := range []struct {
+		name string
+		// changes are changes of the table, a second apart.
+		changes []func(t *cove.Table)
+		used    bool
+	}{
+		{name: "same table"},
+		{name: "entry away", changes: []func(*cove.Table){
+			func(t *cove.Table) { t.Pools[0].Servers = t.Pools[0].Servers[1:] },
+			func(t *cove.Table) { t.Pools[0].Servers = append(t.Pools[0].Servers, row) },
+		}},
+		{name: "pool away", changes: []func(*cove.Table){
+			func(t *cove.Table) { t.Pools[0].Name = "other" },
+			func(t *cove.Table) { t.Pools[0].Name = testPool },
+		}},
+		{name: "failure domain evacuated", changes: []func(*cove.Table){
+			func(t *cove.Table) { t.Domains[0].Evacuated = true },
+			func(t *cove.Table) { t.Domains[0].Evacuated = false },
+		}},
+		{name: "another run", used: true, changes: []func(*cove.Table){
+			func(t *cove.Table) { t.Pools[0].Servers[0].Started = time.Unix(1700000000, 0) },
+		}},
+		{name: "another address", used: true, changes: []func(*cove.Table){
+			func(t *cove.Table) { t.Pools[0].Servers[0].Addr = t.Pools[0].Servers[1].Addr },
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(1, 4)
+			row = f.table.Pools[0].Servers[0]
+			f.sayDraining(t, id)
+			for _, change := range c.changes {
+				f.change(change)
+				f.clock.Advance(time.Second)
+			}
+			// After its return a server is cold for some seconds.
+			f.clock.Advance(5 * time.Second)
+			if n := f.sentTo(t, id, 200); (n > 0) != c.used {
+				t.Errorf("%d of 200 requests reached the server", n)
+			}
+		})
+	}
+}
+
+// Guards against objects that stay with a server that has said that it leaves, and
+// find no other one.
+func TestObjectsLeaveDrainingServer(t *testing.T) {
+	f := newFleet(1, 4)
+	f.sayDraining(t, "s0")
+	var servers []cove.ServerID
+	for object := uint64(1); object < 100; object++ {
+		var first cove.ServerID
+		for range 2 {
+			p, err := f.admit(0, object, cove.Exclude{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if first != "" && p.Target().Server != first {
+				t.Errorf("object %d goes to %s, then to %s", object, first, p.Target().Server)
+			}
+			first = p.Target().Server
+			p.Done(okResult)
+		}
+		if !slices.Contains(servers, first) {
+			servers = append(servers, first)
+		}
+	}
+	if len(servers) != 3 {
+		t.Errorf("objects are at %v, want the three servers that stay", servers)
+	}
+}
+
+// Guards against a host that remembers all servers that ever left.
+func TestDrainingServersAreForgotten(t *testing.T) {
+	f := newFleet(1, 4)
+	f.sayDraining(t, "s0")
+	f.change(func(t *cove.Table) { t.Pools[0].Servers = t.Pools[0].Servers[1:] })
+	f.clock.Advance(drainingTTL + time.Second)
+	f.change(func(*cove.Table) {})
+	if n := len(f.hosts[0].drainingRuns); n > 0 {
+		t.Errorf("%d servers are remembered", n)
+	}
+}
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if status.Draining {
-		b.recordDraining(t.pool, t.server)
+		b.recordDraining(t.pool, t.server, now)
 	}
 	if !status.LimitUnreadable {
 		b.recordLimit(t.pool, t.server, status.Limit, now)
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -178,6 +178,7 @@
 		}
 	}
 	b.pools = pools
+	b.forgetDraining(now)
 }
 
 // Round-trip times before any measurement.
@@ -218,10 +219,11 @@
 			srv.coldUntil = later(srv.coldUntil, now.Add(time.Duration(row.ColdStart)))
 		}
 		srv.row, srv.domain = r, b.domains[r.Domain]
+		b.restoreDraining(srv, now)
 		srv.misplaced = false
 		p.servers[r.ID] = srv
 		p.list = append(p.list, srv)
-		if !r.Draining {
+		if !srv.draining() {
 			p.byKey[srv.key] = srv
 		}
 		if now.Before(srv.coldUntil) {
