Log when a host prefers its region and what changes its region

The logs showed neither the preference for the own region nor moves of objects between regions.

route.locality, steer.movedRegion and steer.otherRegion show both; requests are placed as before.

--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -68,6 +68,7 @@
 		b.eligible = append(b.eligible, place.Server{Key: srv.key, Slots: srv.assignableSlots()})
 	}
 	srv := p.assignable[p.assignments.Choose(b.eligible, p.assignments.MeanPerSlot(p.slots, work))]
+	b.countMove(c.assigned, srv)
 	b.enqueueUpdate(p, p.assignments.Assign(object, srv.key, work, now))
 	c.assigned = srv
 	if !slices.Contains(order, srv) {
@@ -112,9 +113,17 @@
 		return
 	}
 	b.counters.Add("steer.moved", 1)
+	b.countMove(p.byKey[current.Server], to)
 	b.enqueueUpdate(p, p.assignments.Assign(object, to.key, current.Work, now))
 }
 
+// countMove counts a move of an object to a server of another region.
+func (b *Balancer) countMove(from, to *server) {
+	if from != nil && from.domain != nil && from.domain.region != to.domain.region {
+		b.counters.Add("steer.movedRegion", 1)
+	}
+}
+
 // OnUpdate sets a function to be called when there is an update for other hosts.
 // It must not block or call b, and must be set before the first request.
 func (b *Balancer) OnUpdate(fn func()) { b.onUpdate = fn }
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -80,6 +81,8 @@
 	// split distributes the requests over the pools of a traffic split.
 	split    place.WeightedRoundRobin
 	locality place.Locality
+	// local is the last decision of locality, for logs.
+	local bool
 }
 
 var _ cove.Admitter = (*Balancer)(nil)
@@ -216,6 +219,9 @@
 func (b *Balancer) admit(c *selection, req *cove.RequestInfo) *permit {
 	now := b.clock.Now()
 	b.counters.Add("steer."+string(c.choice.Verdict), 1)
+	if c.assigned != nil && c.assigned.domain != nil && c.assigned.domain.region != c.server.domain.region {
+		b.counters.Add("steer.otherRegion", 1)
+	}
 	if c.choice.Verdict == place.Spilled && c.sticky && !c.blocked {
 		b.reassign(c.pool, b.objectKey(req, c.localWeight), c.server, now)
 	}
@@ -339,7 +345,15 @@
 	if domains == 0 {
 		return 1
 	}
-	return b.route(req.Route).locality.Weight(sum/time.Duration(domains), samples, req.Goal)
+	r, rtt := b.route(req.Route), sum/time.Duration(domains)
+	weight := r.locality.Weight(rtt, samples, req.Goal)
+	if local := weight != 1; local != r.local {
+		r.local = local
+		b.events.Emit("route.locality", "round trip",
+			cove.Field{Name: "route", Value: string(req.Route)}, cove.Field{Name: "local", Value: strconv.FormatBool(local)},
+			cove.Field{Name: "rtt", Value: rtt.String()}, cove.Field{Name: "samples", Value: strconv.Itoa(samples)})
+	}
+	return weight
 }
 
 // score ranks the servers for an object. Without an object, the least loaded
