Decide on the own region before traffic, and change it by and by

Cause: whether a route prefers its own region follows from the round trip and the goal. Before any connection the round trip was a guess of 60 ms; each host decided on it first and again after 16 connections, on a mean that holds the stalls of the host. Where a guess and the truth lie on different sides of the threshold, all objects of the route changed their region at nearly the same moment. The class of fault: a policy switch that takes effect for all objects at once, on a number that is not known yet.

Change: hosts measure the round trip to a host of each other failure domain from their start (one message a domain each 5 s later, so the cost does not grow with the fleet), and decide on the shortest of the last 30 to 60 s, which stalls do not change. A later change of the decision reaches the objects one after another over 40 s. TestLocalityFollowsRoundTrip and TestLocalityIgnoresJitter follow the new signature with the same checks.

--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -359,6 +359,17 @@
 	return s.view.addrs[addr.Unmap()]
 }
 
+// DomainOf returns the failure domain of a registered host.
+func (s *Service) DomainOf(id cove.HostID) (cove.Domain, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.view.hosts[id]
+	if h == nil {
+		return "", false
+	}
+	return h.Domain, true
+}
+
 // All returns the registered hosts in ascending order of their ids.
 func (s *Service) All() []Host {
 	s.mu.Lock()
--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -58,7 +58,8 @@
 	Beacon   *beacon.Service
 	Relay    *relay.Service
 
-	runner runner.Runner
+	started time.Time
+	runner  runner.Runner
 	// updates wakes spreadUpdates; assignments and limits are to be passed on.
 	updates     signal
 	assignments pending[steer.AssignmentUpdate]
@@ -81,6 +82,7 @@
 // New assembles a host without starting it.
 func New(o Options) *Host {
 	h := &Host{Clock: clock.System{}, Counters: new(meter.Meter), Tables: new(active.Tables)}
+	h.started = h.Clock.Now()
 	h.Events = &event.Log{Host: o.Self.ID, Clock: h.Clock, Logger: o.Logger}
 	h.Beacon = &beacon.Service{Self: o.Self, Clock: h.Clock, Counters: h.Counters, Events: h.Events}
 	h.Relay = &relay.Service{Self: o.Self, Clock: h.Clock, Hosts: h.Beacon, Counters: h.Counters, Events: h.Events}
@@ -91,6 +93,8 @@
 	h.Beacon.Handle(quotaGrantTopic, h.handleQuotaGrant)
 	h.Beacon.Handle(assignmentTopic, h.handleAssignments)
 	h.Beacon.Handle(limitTopic, h.handleLimits)
+	h.Beacon.Handle(echoTopic, h.handleEcho)
+	h.Beacon.Handle(echoReplyTopic, h.handleEchoReply)
 	h.Beacon.Watch(func() {
 		h.split.Recompute()
 		h.quotas.Recompute()
@@ -143,6 +147,7 @@
 	h.tasks.Go(h.logCounters)
 	h.tasks.Go(h.spreadUpdates)
 	h.tasks.Go(h.requestQuotas)
+	h.tasks.Go(h.measureRoundTrips)
 	return nil
 }
 
--- a/internal/route/place/ranking.go
+++ b/internal/route/place/ranking.go
@@ -4,10 +4,7 @@
 // no I/O and takes the time as an argument.
 package place
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // Ranking keeps the best servers for an object. The zero value is empty.
 type Ranking struct {
@@ -64,59 +61,6 @@
 // logarithm.
 func Rank(object, server uint64) uint64 { return mix(object^server) >> 11 }
 
-const (
-	// significantRTTShare is the share of the goal above which the round trip
-	// to another region matters. Below it, one assignment of each object among
-	// all servers is best: the servers share the bursts of one region and the
-	// loss of another.
-	significantRTTShare = 0.17
-	// localRegionWeight is the weight of local servers above that share: they
-	// rank first for nearly all objects, and remote ones only where there are
-	// few local ones. The assignment table evens out their load.
-	// docs/measurements.md compares 4 to 1000.
-	localRegionWeight = 1000
-)
-
-// Locality decides whether a kind of request prefers the servers of its own
-// region. A decision that followed each measurement would move most objects of a
-// region to another one, and back, where the round trip is close to the
-// threshold. The zero value is ready to use.
-type Locality struct {
-	decided bool
-	local   bool
-}
-
-const (
-	// localitySamples is the number of round trips on which the first decision is
-	// based.
-	localitySamples = 16
-	// localityBand is the relative distance from the threshold at which a
-	// decision is reversed. It exceeds the jitter of round trips.
-	localityBand = 0.25
-)
-
-// Weight returns the weight of a server in the caller's region, where the others
-// have 1, for requests that should be answered within goal. rtt is the mean
-// round trip to other regions, measured n times.
-func (l *Locality) Weight(rtt time.Duration, n int, goal time.Duration) float64 {
-	share := float64(rtt) / float64(max(goal, 1))
-	switch {
-	case goal <= 0:
-		return 1
-	case !l.decided:
-		l.local = share > significantRTTShare
-		l.decided = n >= localitySamples
-	case share > significantRTTShare*(1+localityBand):
-		l.local = true
-	case share < significantRTTShare*(1-localityBand):
-		l.local = false
-	}
-	if l.local {
-		return localRegionWeight
-	}
-	return 1
-}
-
 // mix is the finalizer of SplitMix64, which spreads each input bit over all
 // output bits.
 func mix(v uint64) uint64 {
--- a/internal/route/place/ranking_test.go
+++ b/internal/route/place/ranking_test.go
@@ -76,10 +76,11 @@
 // Guards against preferring local servers where the round trip hardly matters:
 // the burst or loss of one region would then hit few servers.
 func TestLocalityFollowsRoundTrip(t *testing.T) {
-	if w := new(Locality).Weight(70*time.Millisecond, localitySamples, 250*time.Millisecond); w <= 1 {
+	now := time.Unix(100, 0)
+	if w := new(Locality).Weight(1, 70*time.Millisecond, true, 250*time.Millisecond, now); w <= 1 {
 		t.Errorf("a round trip of 70 ms for a goal of 250 ms gives weight %v", w)
 	}
-	if w := new(Locality).Weight(40*time.Millisecond, localitySamples, 400*time.Millisecond); w != 1 {
+	if w := new(Locality).Weight(1, 40*time.Millisecond, true, 400*time.Millisecond, now); w != 1 {
 		t.Errorf("a round trip of 40 ms for a goal of 400 ms gives weight %v", w)
 	}
 }
@@ -89,17 +90,76 @@
 func TestLocalityIgnoresJitter(t *testing.T) {
 	const goal = 400 * time.Millisecond
 	var l Locality
-	first := l.Weight(62*time.Millisecond, localitySamples, goal)
+	now := time.Unix(100, 0)
+	first := l.Weight(1, 62*time.Millisecond, true, goal, now)
 	for _, rtt := range []time.Duration{71, 66, 73, 64, 82, 69, 84} {
-		if w := l.Weight(rtt*time.Millisecond, localitySamples, goal); w != first {
+		now = now.Add(2 * localityTransition)
+		if w := l.Weight(1, rtt*time.Millisecond, true, goal, now); w != first {
 			t.Errorf("the weight changes from %v to %v at a round trip of %d ms", first, w, rtt)
 		}
 	}
-	if w := l.Weight(140*time.Millisecond, localitySamples, goal); w == first {
+	l.Weight(1, 140*time.Millisecond, true, goal, now)
+	if w := l.Weight(1, 140*time.Millisecond, true, goal, now.Add(localityTransition)); w == first {
 		t.Error("the weight does not follow a lasting change of the round trip")
 	}
 }
 
+// Guards against objects that follow a change of the decision all at once, or
+// never.
+func TestLocalityChangesByAndBy(t *testing.T) {
+	const goal, objects = 400 * time.Millisecond, 1000
+	var l Locality
+	now := time.Unix(100, 0)
+	local := func(rtt time.Duration) int {
+		n := 0
+		for o := range uint64(objects) {
+			if l.Weight(mix(o), rtt, true, goal, now) > 1 {
+				n++
+			}
+		}
+		return n
+	}
+	last := local(40 * time.Millisecond)
+	if last != 0 {
+		t.Fatalf("%d objects are local at a round trip of 40 ms", last)
+	}
+	now = now.Add(time.Second)
+	for range 20 {
+		n := local(100 * time.Millisecond)
+		if n-last > objects/10 {
+			t.Errorf("%d of %d objects change in 2 s", n-last, objects)
+		}
+		last = n
+		now = now.Add(2 * time.Second)
+	}
+	if n := local(100 * time.Millisecond); n != objects {
+		t.Errorf("after the transition %d of %d objects are local", n, objects)
+	}
+}
+
+// Guards against a round trip that is taken for longer than it is because a host
+// stalled, or that stays the shortest ever measured.
+func TestMinRTT(t *testing.T) {
+	var m MinRTT
+	if _, ok := m.Get(); ok {
+		t.Error("a measurement although there was none")
+	}
+	now := time.Unix(100, 0)
+	for _, rtt := range []time.Duration{120, 70, 300} {
+		m.Observe(rtt*time.Millisecond, now)
+	}
+	if rtt, ok := m.Get(); rtt != 70*time.Millisecond || !ok {
+		t.Errorf("Get() = %v, %v, want 70ms", rtt, ok)
+	}
+	for range 4 {
+		now = now.Add(minRTTWindow)
+		m.Observe(150*time.Millisecond, now)
+	}
+	if rtt, _ := m.Get(); rtt != 150*time.Millisecond {
+		t.Errorf("Get() = %v long after the round trip became longer", rtt)
+	}
+}
+
 // Guards against senders to cold servers that together exceed the limit, also
 // while two halves of the fleet see different versions of the registry.
 func TestColdSendersStayWithinLimit(t *testing.T) {
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -50,6 +50,8 @@
 	domains map[cove.Domain]*domain
 	routes  map[cove.RouteName]*routeStats
 	senders hostKeys
+	// minRTTs holds the measurements of all failure domains, listed or not.
+	minRTTs map[cove.Domain]*place.MinRTT
 	// drainingRuns holds the runs of servers that have said that they leave, with
 	// the time at which they were last listed.
 	drainingRuns map[serverRun]time.Time
@@ -69,10 +71,10 @@
 	evacuated bool
 	// restored is set by the table that ends an evacuation.
 	restored bool
-	// rtt is the mean round-trip time, measured when connections are opened.
-	rtt time.Duration
-	// rttSamples is the number of those measurements.
-	rttSamples int
+	// rtt is the mean round-trip time, measured when connections are opened, and
+	// minRTT the shortest.
+	rtt    time.Duration
+	minRTT *place.MinRTT
 }
 
 // routeStats holds this host's measurements of a route.
@@ -95,6 +97,7 @@
 		domains: make(map[cove.Domain]*domain),
 		routes:  make(map[cove.RouteName]*routeStats),
 
+		minRTTs:      make(map[cove.Domain]*place.MinRTT),
 		drainingRuns: make(map[serverRun]time.Time),
 
 		regionKey: xxhash.Sum64String(string(self.Region)),
@@ -333,29 +336,42 @@
 // for an object. It depends only on the round-trip times and the goal, so that
 // all hosts of the region agree.
 func (b *Balancer) localWeight(req *cove.RequestInfo) float64 {
-	var sum time.Duration
-	domains, samples := 0, 0
-	for _, d := range b.domains {
-		if d.region != b.self.Region {
-			sum += d.rtt
-			domains++
-			samples += d.rttSamples
-		}
-	}
-	if domains == 0 {
+	rtt, measured, ok := b.remoteRTT()
+	if !ok {
 		return 1
 	}
-	r, rtt := b.route(req.Route), sum/time.Duration(domains)
-	weight := r.locality.Weight(rtt, samples, req.Goal)
-	if local := weight != 1; local != r.local {
+	r := b.route(req.Route)
+	weight := r.locality.Weight(req.AffinityKey, rtt, measured, req.Goal, b.clock.Now())
+	if local := r.locality.Local(); local != r.local {
 		r.local = local
 		b.events.Emit("route.locality", "round trip",
 			cove.Field{Name: "route", Value: string(req.Route)}, cove.Field{Name: "local", Value: strconv.FormatBool(local)},
-			cove.Field{Name: "rtt", Value: rtt.String()}, cove.Field{Name: "samples", Value: strconv.Itoa(samples)})
+			cove.Field{Name: "rtt", Value: rtt.String()}, cove.Field{Name: "measured", Value: strconv.FormatBool(measured)})
 	}
 	return weight
 }
 
+// remoteRTT returns the mean round trip to the failure domains of other regions.
+// While none has been measured it is a guess. ok is false if there are none.
+func (b *Balancer) remoteRTT() (rtt time.Duration, measured, ok bool) {
+	var sum time.Duration
+	n := 0
+	for _, d := range b.domains {
+		if d.region == b.self.Region {
+			continue
+		}
+		ok = true
+		if rtt, known := d.minRTT.Get(); known {
+			sum += rtt
+			n++
+		}
+	}
+	if n == 0 {
+		return remoteRTT, false, ok
+	}
+	return sum / time.Duration(n), true, true
+}
+
 // score ranks the servers for an object. Without an object, the least loaded
 // nearby server is best.
 func (b *Balancer) score(p *pool, srv *server, object uint64, localWeight float64, now time.Time) float64 {
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -127,7 +127,7 @@
 	d := t.server.domain
 	if d != nil && res.Connect > 0 {
 		d.rtt += (res.Connect - d.rtt) / rttSamples
-		d.rttSamples++
+		d.minRTT.Observe(res.Connect, t.b.clock.Now())
 	}
 	if d != nil && (res.Status != 0 && !res.Shed || res.Silent) {
 		// A request without a response took at least this long.
--- a/internal/route/steer/ratelimit_test.go
+++ b/internal/route/steer/ratelimit_test.go
@@ -47,6 +47,8 @@
 	host   int
 	server cove.ServerID
 	permit cove.Permit
+	// took is the time since the request was sent.
+	took time.Duration
 }
 
 type responses []response
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -152,7 +152,10 @@
 		seen[row.Name] = true
 		d := b.domains[row.Name]
 		if d == nil {
-			d = &domain{rtt: b.initialRTT(row)}
+			d = &domain{rtt: b.initialRTT(row), minRTT: b.minRTT(row.Name)}
+			if rtt, known := d.minRTT.Get(); known {
+				d.rtt = rtt
+			}
 			b.domains[row.Name] = d
 		}
 		d.restored = d.evacuated && !row.Evacuated
