Bound how fast requests leave a region in an overload

Cause: a request that finds its server full, or no token for a server that names a limit, ran in any region, and its object was assigned there for good. That is right for each object, but nothing bounds how many do it at the same moment, over all hosts.

Change: place.RegionChange bounds the net number of requests that run outside the region of their object's server on each host, and the objects that move, over all hosts. Both bounds are off while a region is short of servers because of a loss, and for 5 s after a start of the host.

--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -292,6 +292,17 @@
 	return s.view.topology == clustered
 }
 
+// Sharing returns the number of hosts that get the messages for all hosts,
+// including this one.
+func (s *Service) Sharing() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view.topology == regionMesh {
+		return len(s.view.meshPeers()) + 1
+	}
+	return len(s.view.sorted)
+}
+
 // Neighbors returns the hosts to which a message for all hosts is to be sent. In a
 // clustered fleet they have to pass it on to their own neighbors.
 func (s *Service) Neighbors() []cove.HostID {
--- a/internal/route/place/assignment.go
+++ b/internal/route/place/assignment.go
@@ -66,6 +66,9 @@
 	return a, ok
 }
 
+// Len returns the number of objects.
+func (t *AssignmentTable) Len() int { return len(t.byObject) }
+
 // Server is a server that an object may be assigned to.
 type Server struct {
 	Key uint64
--- a/internal/route/place/locality.go
+++ b/internal/route/place/locality.go
@@ -23,8 +23,9 @@
 	// change of the decision.
 	localityTransition = 40 * time.Second
 	// localitySettling is the time after the first request in which a change needs
-	// no transition: hardly any object has been placed by then.
-	localitySettling = 300 * time.Millisecond
+	// no transition: a host that has just started gets requests before it has
+	// measured the round trip.
+	localitySettling = 3 * time.Second
 )
 
 // Locality decides whether a kind of request prefers the servers of its own
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -58,17 +58,26 @@
 			return slices.Insert(order, 0, srv)
 		}
 	}
-	b.eligible = b.eligible[:0]
+	mayMove := c.assigned == nil || b.mayMoveRegion(p, c.assigned, req, now)
+	b.eligible, b.eligibleServers = b.eligible[:0], b.eligibleServers[:0]
 	for i, srv := range p.assignable {
+		if !mayMove && srv.domain.region != c.assigned.domain.region {
+			continue
+		}
 		if c.localWeight != 1 && i >= place.MaxChoices && srv.domain.region != b.self.Region {
 			// An object that is best kept in this region leaves it only if the
 			// region has fewer servers than choices.
 			break
 		}
 		b.eligible = append(b.eligible, place.Server{Key: srv.key, Slots: srv.assignableSlots()})
+		b.eligibleServers = append(b.eligibleServers, srv)
+	}
+	if len(b.eligible) == 0 {
+		c.blocked = true
+		return slices.Insert(order, 0, c.assigned)
 	}
-	srv := p.assignable[p.assignments.Choose(b.eligible, p.assignments.MeanPerSlot(p.slots, work))]
-	b.countMove(c.assigned, srv)
+	srv := b.eligibleServers[p.assignments.Choose(b.eligible, p.assignments.MeanPerSlot(p.slots, work))]
+	b.recordMove(c.assigned, srv)
 	b.enqueueUpdate(p, p.assignments.Assign(object, srv.key, work, now))
 	c.assigned = srv
 	if !slices.Contains(order, srv) {
@@ -107,19 +116,37 @@
 
 // reassign assigns an object that was spilled from its loaded server to the
 // server that took it, so that it is cold there only once.
-func (b *Balancer) reassign(p *pool, object uint64, to *server, now time.Time) {
+func (b *Balancer) reassign(c *selection, req *cove.RequestInfo, now time.Time) {
+	p, object, to := c.pool, b.objectKey(req, c.localWeight), c.server
 	current, ok := p.assignments.Find(object, now)
 	if !ok || current.Server == to.key || !current.MayMove(now) {
 		return
 	}
+	from := p.byKey[current.Server]
+	if from != nil && from.domain.region != to.domain.region && !b.mayMoveRegion(p, from, req, now) {
+		return
+	}
 	b.counters.Add("steer.moved", 1)
-	b.countMove(p.byKey[current.Server], to)
+	b.recordMove(from, to)
 	b.enqueueUpdate(p, p.assignments.Assign(object, to.key, current.Work, now))
 }
 
-// countMove counts a move of an object to a server of another region.
-func (b *Balancer) countMove(from, to *server) {
-	if from != nil && from.domain != nil && from.domain.region != to.domain.region {
+// mayMoveRegion reports whether an object may move from a server to one of another
+// region.
+func (b *Balancer) mayMoveRegion(p *pool, from *server, req *cove.RequestInfo, now time.Time) bool {
+	if b.mayShift(p, from.domain.region, now) {
+		return true
+	}
+	objects := 0
+	for _, p := range b.pools {
+		objects += p.assignments.Len()
+	}
+	return b.regionChange.MayMove(now, objects, b.hosts.Sharing(), uniform(req.ID))
+}
+
+// recordMove records that an object moves from a server, which may be nil.
+func (b *Balancer) recordMove(from, to *server) {
+	if from != nil && from.domain.region != to.domain.region {
 		b.counters.Add("steer.movedRegion", 1)
 	}
 }
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -29,6 +30,9 @@
 type Hosts interface {
 	// Registered returns all of them, live or not, including this one.
 	Registered() []cove.HostID
+	// Sharing returns the number of hosts that exchange assignments of objects,
+	// including this one.
+	Sharing() int
 }
 
 // Balancer implements cove.Admitter. Use New to create one.
@@ -39,8 +43,9 @@
 	events   cove.Events
 	hosts    Hosts
 	// quotas divides the rate limits that servers name between the hosts.
-	quotas *split.Limiter[cove.ServerID]
-	cfg    Settings
+	quotas  *split.Limiter[cove.ServerID]
+	cfg     Settings
+	started time.Time
 	// regionKey is mixed into the keys of objects that each region assigns on
 	// its own.
 	regionKey uint64
@@ -55,9 +60,12 @@
 	// drainingRuns holds the runs of servers that have said that they leave, with
 	// the time at which they were last listed.
 	drainingRuns map[serverRun]time.Time
-	// candidates and eligible are buffers, reused by each call.
+	// regionChange bounds how fast requests change their region.
+	regionChange place.RegionChange
+	// candidates, eligible and eligibleServers are buffers, reused by each call.
 	candidates        []place.Candidate
 	eligible          []place.Server
+	eligibleServers   []*server
 	assignmentUpdates []AssignmentUpdate
 	limitUpdates      []LimitUpdate
 	// onUpdate is called when there are more updates for other hosts; it may be
@@ -100,7 +108,7 @@
 		minRTTs:      make(map[cove.Domain]*place.MinRTT),
 		drainingRuns: make(map[serverRun]time.Time),
 
-		regionKey: xxhash.Sum64String(string(self.Region)),
+		started: clock.Now(), regionKey: xxhash.Sum64String(string(self.Region)),
 	}
 	tables.Watch(b.apply)
 	return b
@@ -155,6 +163,8 @@
 	sticky bool
 	// assigned is the server that the object of the request is assigned to, or nil.
 	assigned *server
+	// home is the region of the first candidate.
+	home cove.Region
 	// blocked is set if that server has no token left for the request.
 	blocked     bool
 	times       *place.ServiceTimes
@@ -195,6 +205,14 @@
 		b.candidates = append(b.candidates, b.candidate(p, srv, c.times, i == 0, now))
 	}
 	b.candidates[0].Blocked = c.blocked
+	c.home = order[0].domain.region
+	if c.sticky && !b.mayShift(p, c.home, now) {
+		for i, srv := range order {
+			if r := srv.domain.region; r != c.home && !b.regionChange.MayLeave(c.home, r) {
+				b.candidates[i].Blocked = true
+			}
+		}
+	}
 	queueLimit := p.overload.Limit(now, b.candidates[0].QueueTime(), p.queueLimit(req, c.times, now))
 	c.choice = place.Choose(b.candidates, req.Deadline.Sub(now), queueLimit)
 	switch c.choice.Verdict {
@@ -206,10 +224,7 @@
 		// Without an occasional request, a decrease of the service times would
 		// not be noticed.
 		c.times.LastLateProbe = now
-		c.choice.Index = 0
-		if c.blocked {
-			c.choice.Index = 1
-		}
+		c.choice.Index = slices.IndexFunc(b.candidates, func(c place.Candidate) bool { return !c.Blocked })
 	case place.NoRoom:
 		b.counters.Add("steer.noRoom", 1)
 		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", jitter(req.ID, c.choice.RetryAfter))
@@ -222,11 +237,16 @@
 func (b *Balancer) admit(c *selection, req *cove.RequestInfo) *permit {
 	now := b.clock.Now()
 	b.counters.Add("steer."+string(c.choice.Verdict), 1)
-	if c.assigned != nil && c.assigned.domain != nil && c.assigned.domain.region != c.server.domain.region {
+	region := c.server.domain.region
+	if !c.sticky {
+		c.home = region
+	}
+	if region != c.home {
 		b.counters.Add("steer.otherRegion", 1)
 	}
+	b.regionChange.Add(c.home, region, now)
 	if c.choice.Verdict == place.Spilled && c.sticky && !c.blocked {
-		b.reassign(c.pool, b.objectKey(req, c.localWeight), c.server, now)
+		b.reassign(c, req, now)
 	}
 	t := b.begin(c.pool, c.server, c.times, c.choice.Index == 0, now)
 	t.target.Basis = cove.Basis{
@@ -244,10 +264,12 @@
 // jitter returns a time from d to 2d that depends on the request id, so that
 // callers refused together do not retry together.
 func jitter(id string, d time.Duration) time.Duration {
-	fraction := float64(xxhash.Sum64String(id)>>11) / (1 << 53)
-	return d + time.Duration(fraction*float64(d))
+	return d + time.Duration(uniform(id)*float64(d))
 }
 
+// uniform returns a number in [0, 1) that depends on the request id.
+func uniform(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
 // choosePool returns the pool of a request.
 func (b *Balancer) choosePool(pools []cove.PoolWeight, req *cove.RequestInfo) cove.PoolName {
 	switch len(pools) {
--- a/internal/route/steer/balancer_test.go
+++ b/internal/route/steer/balancer_test.go
@@ -22,6 +22,7 @@
 type hostList []cove.HostID
 
 func (h hostList) Registered() []cove.HostID { return h }
+func (h hostList) Sharing() int              { return len(h) }
 
 const testPool = cove.PoolName("pool")
 
--- a/internal/route/steer/draining.go
+++ b/internal/route/steer/draining.go
@@ -37,6 +37,7 @@
 	srv.saidDraining = true
 	b.drainingRuns[runOf(&srv.row)] = now
 	delete(p.byKey, srv.key)
+	p.recordLoss(srv, now)
 	p.countSlots()
 	b.events.Emit("server.draining", "response",
 		cove.Field{Name: "server", Value: string(srv.row.ID)},
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -33,6 +33,9 @@
 	// server names a rate limit.
 	slots   float64
 	limited bool
+	// lostAt is when a region last lost a server of the pool, as far as this host
+	// knows.
+	lostAt map[cove.Region]time.Time
 	// kinds holds the routes that have requests to the pool.
 	kinds map[cove.RouteName]*kind
 	// kindList is a buffer for queueLimit.
@@ -125,6 +128,9 @@
 		return
 	}
 	srv.unreachable = res.Unreached
+	if res.Unreached {
+		p.recordLoss(srv, now)
+	}
 	until := now.Add(time.Duration(p.row.ColdStart))
 	if p.row.ColdRate <= 0 || !until.After(srv.coldUntil) {
 		return
@@ -221,6 +227,7 @@
 			// after the next heartbeat.
 			srv.coldUntil = later(srv.coldUntil, now.Add(time.Duration(row.ColdStart)))
 		}
+		wasDraining := srv.draining()
 		srv.row, srv.domain = r, b.domains[r.Domain]
 		b.restoreDraining(srv, now)
 		srv.misplaced = false
@@ -228,15 +235,59 @@
 		p.list = append(p.list, srv)
 		if !srv.draining() {
 			p.byKey[srv.key] = srv
+		} else if before := old[r.ID]; before == srv && !wasDraining {
+			p.recordLoss(srv, now)
 		}
 		if now.Before(srv.coldUntil) {
 			b.assignColdSenders(p, srv)
 		}
 	}
+	for id, srv := range old {
+		if p.servers[id] != srv && !srv.draining() {
+			p.recordLoss(srv, now)
+		}
+	}
 	b.dropLimits(old, p.servers)
 	p.countSlots()
 }
 
+// lossWindow is how long after the loss of a server its region may be short of
+// servers for that reason.
+const lossWindow = 5 * time.Second
+
+// recordLoss records that a server has left or cannot be reached.
+func (p *pool) recordLoss(srv *server, now time.Time) {
+	if srv.domain == nil {
+		return
+	}
+	if p.lostAt == nil {
+		p.lostAt = make(map[cove.Region]time.Time)
+	}
+	p.lostAt[srv.domain.region] = now
+}
+
+// startupTime is how long after the start of this host its requests may run
+// anywhere: objects have not been assigned yet, and those of hosts that were lost
+// with it are cold.
+const startupTime = 5 * time.Second
+
+// mayShift reports whether requests for a pool may leave a region without a bound:
+// the region is short of servers because of a loss, or this host has just started.
+func (b *Balancer) mayShift(p *pool, region cove.Region, now time.Time) bool {
+	if now.Sub(b.started) < startupTime {
+		return true
+	}
+	if at, ok := p.lostAt[region]; ok && now.Sub(at) < lossWindow {
+		return true
+	}
+	for _, d := range b.domains {
+		if d.region == region && d.evacuated {
+			return true
+		}
+	}
+	return false
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
