Send nothing to a server in the pause that it asked for

Cause: as for leaving servers, what a server says of itself in a response had no state. Retry-After was not read.

Evidence: with the header read and nothing else changed, TestServerGetsRequestsInPauseItAskedFor failed with 27 of 100 requests at the server, TestRefusalTellsEndOfPause with requests sent to servers in a pause.

Change: a server gets no request of the host until its pause ends, at most five minutes. Its objects stay assigned to it and run elsewhere in free slots, as those of a server without a token. If all servers pause, the refusal names the shortest pause. The pause is kept with the sign of leaving, apart from the tables.

Ruled out: telling other hosts of the pause, as it is meant for one host.

--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -276,7 +276,7 @@
 	if t.misdirected(resp) {
 		return
 	}
-	status, err := t.proxy.cfg.Dialect.status(resp.Header)
+	status, err := t.proxy.cfg.Dialect.status(resp)
 	if err != nil {
 		t.proxy.Counters.Add(counterUnreadableLimits, 1)
 	}
--- a/internal/route/proxy/dialect.go
+++ b/internal/route/proxy/dialect.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -91,11 +92,32 @@
 // of requests.
 var errInvalidLimit = errors.New("rate limit is not a non-negative number")
 
-// status returns what a backend server says of itself in the headers of a
-// response. It returns an error if the limit in it cannot be read.
-func (d *Dialect) status(h http.Header) (cove.ServerStatus, error) {
-	limit, err := d.rateLimit(h)
-	return cove.ServerStatus{Limit: limit, LimitUnreadable: err != nil, Draining: d.draining(h)}, err
+// status returns what a backend server says of itself in the header of a response.
+// It returns an error if the limit in it cannot be read.
+func (d *Dialect) status(resp *http.Response) (cove.ServerStatus, error) {
+	limit, err := d.rateLimit(resp.Header)
+	status := cove.ServerStatus{Limit: limit, LimitUnreadable: err != nil, Draining: d.draining(resp.Header)}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		status.RetryAfter = parseRetryAfter(resp.Header)
+	}
+	return status, err
+}
+
+// maxRetryAfter bounds what a backend server may ask for, so that a faulty one is
+// tried again.
+const maxRetryAfter = 5 * time.Minute
+
+// parseRetryAfter returns the time in a Retry-After header, or 0 if there is none in
+// seconds.
+func parseRetryAfter(h http.Header) time.Duration {
+	if len(h["Retry-After"]) == 0 {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(h["Retry-After"][0]), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // draining reports whether a response is of a backend server that is about to
--- a/internal/route/proxy/dialect_test.go
+++ b/internal/route/proxy/dialect_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"turmericcove.org/cove"
 )
@@ -46,7 +47,7 @@
 	}
 }
 
-// Guards against a limit or a planned end of a server that admission does not learn
+// Guards against a limit, a pause or a planned end of a server that admission does not learn
 // of: that of a refusal, or the end of a limit; and against one that another server
 // named at the same address.
 func TestAdmissionLearnsServerStatus(t *testing.T) {
@@ -81,6 +82,10 @@
 		{"leaving", 200, leaving, []cove.ServerStatus{{Draining: true}}},
 		{"leaving, refusal", 503, http.Header{"Server-Leaving": {"1"}, "X-Not-Executed": {"1"}}, []cove.ServerStatus{{Draining: true}}},
 		{"another server leaving", 421, leaving, nil},
+		{"pause", 503, http.Header{"Retry-After": {"1.5"}, "X-Not-Executed": {"1"}}, []cove.ServerStatus{{RetryAfter: 1500 * time.Millisecond}}},
+		{"pause for ever", 503, http.Header{"Retry-After": {"1e300"}, "X-Not-Executed": {"1"}}, []cove.ServerStatus{{RetryAfter: maxRetryAfter}}},
+		{"no pause", 503, http.Header{"Retry-After": {"NaN"}, "X-Not-Executed": {"1"}}, []cove.ServerStatus{{}}},
+		{"pause of a success", 200, http.Header{"Retry-After": {"1"}}, []cove.ServerStatus{{}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			status, header, h.admit.statuses = test.status, test.header, nil
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -48,12 +48,13 @@
 func (b *Balancer) applyAssignment(c *selection, req *cove.RequestInfo, order []*server, now time.Time) []*server {
 	p, object, work := c.pool, b.objectKey(req, c.localWeight), place.WorkOf(req.Goal)
 	if srv := c.assigned; srv != nil {
+		paused := srv.paused(now)
 		missed := srv.limit.Limited && !slices.Contains(order, srv)
-		if !missed {
+		if !missed && !paused {
 			moveToFront(order, srv)
 			return order
 		}
-		if !b.mustMove(p, object, srv, now) {
+		if paused || !b.mustMove(p, object, srv, now) {
 			c.blocked = true
 			return slices.Insert(order, 0, srv)
 		}
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -57,9 +57,9 @@
 	senders hostKeys
 	// minRTTs holds the measurements of all failure domains, listed or not.
 	minRTTs map[cove.Domain]*place.MinRTT
-	// drainingRuns holds the runs of servers that have said that they leave, with
-	// the time at which they were last listed.
-	drainingRuns map[serverRun]time.Time
+	// statuses holds what runs of servers have said of themselves. Unlike server,
+	// it outlives their entries in the tables.
+	statuses map[serverRun]runStatus
 	// regionChange bounds how fast requests change their region.
 	regionChange place.RegionChange
 	// candidates, eligible and eligibleServers are buffers, reused by each call.
@@ -105,8 +105,8 @@
 		domains: make(map[cove.Domain]*domain),
 		routes:  make(map[cove.RouteName]*routeStats),
 
-		minRTTs:      make(map[cove.Domain]*place.MinRTT),
-		drainingRuns: make(map[serverRun]time.Time),
+		minRTTs:  make(map[cove.Domain]*place.MinRTT),
+		statuses: make(map[serverRun]runStatus),
 
 		started: clock.Now(), regionKey: xxhash.Sum64String(string(self.Region)),
 	}
@@ -163,9 +163,13 @@
 	sticky bool
 	// assigned is the server that the object of the request is assigned to, or nil.
 	assigned *server
+	// pause is the shortest remaining pause of the servers that asked for one; 0 if
+	// none did.
+	pause time.Duration
 	// home is the region of the first candidate.
 	home cove.Region
-	// blocked is set if that server has no token left for the request.
+	// blocked is set if that server wants no request now, or has no token left for
+	// the request.
 	blocked     bool
 	times       *place.ServiceTimes
 	choice      place.Choice
@@ -193,7 +197,7 @@
 	if len(order) == 0 && !(c.sticky && len(p.assignable) > 0) {
 		b.counters.Add("steer.none", 1)
 		if total > 0 {
-			return nil, refuse(cove.ReasonNoRoom, "no backend server is ready for the request", jitter(req.ID, noServerRetryAfter))
+			return nil, refuse(cove.ReasonNoRoom, "no backend server is ready for the request", jitter(req.ID, max(c.pause, noServerRetryAfter)))
 		}
 		return nil, errNoServer
 	}
@@ -317,6 +321,12 @@
 		}
 		total++
 		score := b.score(p, srv, object, c.localWeight, now)
+		if srv.paused(now) {
+			if left := srv.said.pausedUntil.Sub(now); c.pause == 0 || left < c.pause {
+				c.pause = left
+			}
+			continue
+		}
 		level := b.limitLevel(srv, tok)
 		if level == split.Exhausted || !srv.coldLimitAllows(now) {
 			continue
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -31,9 +31,12 @@
 	srv.load.Begin()
 	srv.health.Begin()
 	srv.liveness.Begin(now)
-	if srv.saidDraining {
+	if srv.said.draining {
 		b.counters.Add("steer.sentToDraining", 1)
 	}
+	if srv.paused(now) {
+		b.counters.Add("steer.sentToPaused", 1)
+	}
 	if srv.limit.Limited {
 		srv.limit.sent++
 		b.counters.Add("steer.sentToLimited", 1)
@@ -66,6 +69,9 @@
 	if status.Draining {
 		b.recordDraining(t.pool, t.server, now)
 	}
+	if status.RetryAfter > 0 {
+		b.recordPause(t.server, status.RetryAfter, now)
+	}
 	if !status.LimitUnreadable {
 		b.recordLimit(t.pool, t.server, status.Limit, now)
 	}
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -91,8 +91,8 @@
 	// misplaced is set when another server has answered at the address. The
 	// next table clears it.
 	misplaced bool
-	// saidDraining is set when the server has said that it is about to leave.
-	saidDraining bool
+	// said is what the server has said of itself.
+	said runStatus
 	// coldSender reports that this host may send to the server while it is
 	// cold; coldInterval is the minimum time between two requests then.
 	coldSender   bool
@@ -187,7 +187,7 @@
 		}
 	}
 	b.pools = pools
-	b.forgetDraining(now)
+	b.expireStatuses(now)
 }
 
 // Round-trip times before any measurement.
@@ -229,7 +229,7 @@
 		}
 		wasDraining := srv.draining()
 		srv.row, srv.domain = r, b.domains[r.Domain]
-		b.restoreDraining(srv, now)
+		b.restoreStatus(srv, now)
 		srv.misplaced = false
 		p.servers[r.ID] = srv
 		p.list = append(p.list, srv)
--- /dev/null
+++ b/internal/route/steer/status.go
@@ -0,0 +1,87 @@
+package steer
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"turmericcove.org/cove"
+)
+
+// serverRun identifies one run of a backend server.
+type serverRun struct {
+	id   cove.ServerID
+	addr netip.AddrPort
+	// started is in Unix milliseconds.
+	started int64
+}
+
+func runOf(row *cove.Server) serverRun {
+	return serverRun{id: row.ID, addr: row.Addr, started: row.Started.UnixMilli()}
+}
+
+// runStatus is what a run of a server has said of itself in its responses.
+type runStatus struct {
+	draining bool
+	// pausedUntil is the time until which the run wants no request of this host.
+	pausedUntil time.Time
+	// listed is when the run was last listed.
+	listed time.Time
+}
+
+// statusTTL is how long the status of a run is kept after it was last listed.
+// Entries can be missing for a while, as during an outage of the store.
+const statusTTL = 5 * time.Minute
+
+// draining reports whether the server leaves, as its entry or one of its responses
+// says.
+func (s *server) draining() bool { return s.row.Draining || s.said.draining }
+
+// paused reports whether the server wants no request of this host now.
+func (s *server) paused(now time.Time) bool { return now.Before(s.said.pausedUntil) }
+
+// recordDraining records that a server has said that it is about to leave.
+func (b *Balancer) recordDraining(p *pool, srv *server, now time.Time) {
+	if srv.said.draining {
+		return
+	}
+	srv.said.draining = true
+	b.keepStatus(srv, now)
+	delete(p.byKey, srv.key)
+	p.recordLoss(srv, now)
+	p.countSlots()
+	b.events.Emit("server.draining", "response",
+		cove.Field{Name: "server", Value: string(srv.row.ID)},
+		cove.Field{Name: "pool", Value: string(p.row.Name)},
+		cove.Field{Name: "listedAsDraining", Value: strconv.FormatBool(srv.row.Draining)})
+}
+
+// recordPause records that a server wants no request of this host for a time.
+func (b *Balancer) recordPause(srv *server, pause time.Duration, now time.Time) {
+	srv.said.pausedUntil = later(srv.said.pausedUntil, now.Add(pause))
+	b.keepStatus(srv, now)
+	b.counters.Add("steer.paused", 1)
+}
+
+// keepStatus keeps what the run of a server has said.
+func (b *Balancer) keepStatus(srv *server, now time.Time) {
+	srv.said.listed = now
+	b.statuses[runOf(&srv.row)] = srv.said
+}
+
+// restoreStatus sets what the run of a listed server has said before.
+func (b *Balancer) restoreStatus(srv *server, now time.Time) {
+	if said, ok := b.statuses[runOf(&srv.row)]; ok {
+		srv.said = said
+		b.keepStatus(srv, now)
+	}
+}
+
+// expireStatuses removes the runs that have not been listed for statusTTL.
+func (b *Balancer) expireStatuses(now time.Time) {
+	for run, said := range b.statuses {
+		if now.Sub(said.listed) > statusTTL {
+			delete(b.statuses, run)
+		}
+	}
+}
--- a/internal/route/steer/draining_test.go
+++ b/internal/route/steer/status_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"time"
@@ -29,8 +30,8 @@
 	return sent
 }
 
-// sayDraining makes a server say in a response to host 0 that it leaves.
-func (f *fleet) sayDraining(t *testing.T, id cove.ServerID) {
+// say makes a server say something in a response to host 0.
+func (f *fleet) say(t *testing.T, id cove.ServerID, status cove.ServerStatus) {
 	t.Helper()
 	for object := uint64(1); object < 1000; object++ {
 		p, err := f.admit(0, object, cove.Exclude{})
@@ -38,7 +39,7 @@
 			t.Fatal(err)
 		}
 		if p.Target().Server == id {
-			p.Responded(drainingStatus)
+			p.Responded(status)
 			p.Done(okResult)
 			return
 		}
@@ -82,7 +83,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(1, 4)
 			row = f.table.Pools[0].Servers[0]
-			f.sayDraining(t, id)
+			f.say(t, id, drainingStatus)
 			for _, change := range c.changes {
 				f.change(change)
 				f.clock.Advance(time.Second)
@@ -100,7 +101,7 @@
 // find no other one.
 func TestObjectsLeaveDrainingServer(t *testing.T) {
 	f := newFleet(1, 4)
-	f.sayDraining(t, "s0")
+	f.say(t, "s0", drainingStatus)
 	var servers []cove.ServerID
 	for object := uint64(1); object < 100; object++ {
 		var first cove.ServerID
@@ -127,11 +128,48 @@
 // Guards against a host that remembers all servers that ever left.
 func TestDrainingServersAreForgotten(t *testing.T) {
 	f := newFleet(1, 4)
-	f.sayDraining(t, "s0")
+	f.say(t, "s0", drainingStatus)
 	f.change(func(t *cove.Table) { t.Pools[0].Servers = t.Pools[0].Servers[1:] })
-	f.clock.Advance(drainingTTL + time.Second)
+	f.clock.Advance(statusTTL + time.Second)
 	f.change(func(*cove.Table) {})
-	if n := len(f.hosts[0].drainingRuns); n > 0 {
+	if n := len(f.hosts[0].statuses); n > 0 {
 		t.Errorf("%d servers are remembered", n)
 	}
 }
+
+// Guards against requests to a server that has turned one away and asked for a
+// pause, while its object is assigned to it and after its entry has been away; and
+// against a pause that never ends.
+func TestServerGetsRequestsInPauseItAskedFor(t *testing.T) {
+	const pause = 3 * time.Second
+	f := newFleet(1, 4)
+	row := f.table.Pools[0].Servers[0]
+	f.say(t, "s0", cove.ServerStatus{RetryAfter: pause})
+	asked := f.clock.Now()
+	if n := f.sentTo(t, "s0", 100); n > 0 {
+		t.Errorf("%d of 100 requests reached the server", n)
+	}
+	f.change(func(t *cove.Table) { t.Pools[0].Servers = t.Pools[0].Servers[1:] })
+	f.change(func(t *cove.Table) { t.Pools[0].Servers = append(t.Pools[0].Servers, row) })
+	if n := f.sentTo(t, "s0", 100); n > 0 {
+		t.Errorf("%d of 100 requests reached the server after its entry was away", n)
+	}
+	f.clock.Advance(pause - f.clock.Now().Sub(asked))
+	if n := f.sentTo(t, "s0", 100); n == 0 {
+		t.Error("no request reaches the server after its pause")
+	}
+}
+
+// Guards against callers that come back before any server takes their request.
+func TestRefusalTellsEndOfPause(t *testing.T) {
+	f := newFleet(1, 2)
+	f.say(t, "s0", cove.ServerStatus{RetryAfter: 4 * time.Second})
+	f.say(t, "s1", cove.ServerStatus{RetryAfter: 2 * time.Second})
+	for object := range uint64(3) {
+		_, err := f.admit(0, object, cove.Exclude{})
+		var ref *cove.Refusal
+		if !errors.As(err, &ref) || ref.Outcome != cove.NotRun || ref.RetryAfter < 2*time.Second || ref.RetryAfter > 4*time.Second {
+			t.Errorf("object %d: %v", object, err)
+		}
+	}
+}
--- a/request.go
+++ b/request.go
@@ -146,6 +146,9 @@
 	LimitUnreadable bool
 	// Draining means that the server is about to leave.
 	Draining bool
+	// RetryAfter is set if the server has turned the request away and wants no
+	// other one from this host for that long.
+	RetryAfter time.Duration
 }
 
 // RateLimit is the number of requests per second that a backend server takes
