Log the requests under which servers crash

The logs did not show which requests broke with a server, nor whether it had ended.

After a connection broke before the response, the host opens another one to the server; if that fails, request.crashedServer names the request by a hash of what the server sees of it, and the server. Requests are sent as before.

--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -24,6 +24,7 @@
 	"turmericcove.org/cove/internal/fleet/beacon"
 	"turmericcove.org/cove/internal/fleet/relay"
 	"turmericcove.org/cove/internal/limit/split"
+	"turmericcove.org/cove/internal/route/crash"
 	"turmericcove.org/cove/internal/route/proxy"
 	"turmericcove.org/cove/internal/route/retry"
 	"turmericcove.org/cove/internal/route/steer"
@@ -70,6 +71,7 @@
 	proxy   *proxy.Proxy
 	split   *split.Limiter[cove.Team]
 	quotas  *split.Limiter[cove.ServerID]
+	crashes *crash.Tracker
 	steer   *steer.Balancer
 	tasks   *group.Group
 	leaving atomic.Bool
@@ -114,8 +116,10 @@
 		log = &audit.Log{Out: o.Out, Host: o.Self.ID, Clock: h.Clock, Counters: h.Counters}
 		services = append(services, log)
 	}
+	h.crashes = crash.New(h.Clock, h.Events)
 	h.proxy = proxy.New(proxy.Deps{
-		Audit: log, Histograms: h.Counters,
+		Crashes: h.crashes,
+		Audit:   log, Histograms: h.Counters,
 		Self: self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, alwaysFresh{h.Clock}), Limiter: h.split,
 		Admitter: h.steer, Counters: h.Counters, Events: h.Events, Clock: h.Clock,
 	}, o.Proxy)
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -265,6 +265,7 @@
 	if resp.Header[t.proxy.cfg.Dialect.NotRunHeader] != nil && !success(resp.StatusCode) || t.misdirected(resp) {
 		return nil, a.refused()
 	}
+	t.recordServed(resp)
 	if !a.retryable {
 		t.exchange.stats.latency.Observe(t.proxy.Clock.Now(), a.latency)
 	}
@@ -331,6 +332,7 @@
 }
 
 func (t *attempt) broken(err error) *failure {
+	t.checkCrash()
 	t.abandon(cove.AttemptResult{Err: err})
 	reason := cove.ReasonServerFailed
 	if t.target.Host != "" {
--- /dev/null
+++ b/internal/route/proxy/crash.go
@@ -0,0 +1,56 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// content returns a hash of all that a backend server sees of the request and that
+// is the same when it comes again. Of a body that is not in memory it covers only
+// the length.
+func (x *exchange) content() uint64 {
+	if x.contentKey != 0 {
+		return x.contentKey
+	}
+	var h xxhash.Digest
+	h.Reset()
+	for _, s := range []string{x.method, x.host, x.uri, string(x.principal.Team), strconv.FormatInt(x.body.length, 10)} {
+		// Writes to a hash do not fail.
+		_, _ = h.WriteString(s)
+		_, _ = h.WriteString("\x00")
+	}
+	_, _ = h.Write(x.body.data)
+	x.contentKey = max(h.Sum64(), 1)
+	return x.contentKey
+}
+
+// checkCrash finds out whether the backend server has crashed, after a connection
+// to it has broken: then it does not accept another one.
+func (t *attempt) checkCrash() {
+	p := t.proxy
+	if p.Crashes == nil || t.target.Host != "" {
+		return
+	}
+	key, target := t.exchange.content(), t.target
+	p.tasks.Go(func(ctx context.Context) error {
+		c, err := dial(ctx, p.cfg.DialTimeout, target.Addr)
+		switch {
+		case err == nil:
+			c.close()
+		case ctx.Err() == nil:
+			p.Crashes.Crashed(key, target.Server)
+		}
+		return nil
+	})
+}
+
+// recordServed records that a backend server has run the request without a crash.
+func (t *attempt) recordServed(resp *http.Response) {
+	p := t.proxy
+	if p.Crashes != nil && resp.StatusCode <= http.StatusInternalServerError && p.Crashes.Tracking() {
+		p.Crashes.Served(t.exchange.content())
+	}
+}
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -55,6 +55,8 @@
 	mayHaveRun atomic.Bool
 	// steps holds the decisions about the request for the audit record.
 	steps []audit.Step
+	// contentKey is the result of content; 0 means that it is not known yet.
+	contentKey uint64
 	// singleAttempt marks a request forwarded by another host, which retries
 	// itself.
 	singleAttempt bool
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -36,6 +36,9 @@
 	Counters     cove.Counters
 	Events       cove.Events
 	Clock        cove.Clock
+	// Crashes keeps requests that crash backend servers away from them; nil disables
+	// it.
+	Crashes cove.CrashTracker
 	// Histograms receives the durations of requests, attempts and limit checks; nil
 	// disables them.
 	Histograms cove.Histograms
--- a/request.go
+++ b/request.go
@@ -257,6 +257,20 @@
 	NotRun()
 }
 
+// CrashTracker finds requests that crash the backend servers that run them. A
+// request is identified by a hash of all that a backend server sees of it.
+type CrashTracker interface {
+	// Tracking reports whether any request is suspected. Otherwise Served and
+	// Blocked need not be called.
+	Tracking() bool
+	// Crashed records that a server crashed while it ran a request.
+	Crashed(key uint64, server ServerID)
+	// Served records that a server has served a request.
+	Served(key uint64)
+	// Blocked reports whether a request must not be sent, and for how much longer.
+	Blocked(key uint64) (time.Duration, bool)
+}
+
 // Deduplicator runs keyed requests at most once.
 type Deduplicator interface {
 	// Ticket issues an idempotency key whose request only this incarnation runs.
