Take no response without the request's id for its answer

Callers were told that requests had not run which had (REFUSED), or these ran at a second server (TWICE).

With the id of the earlier request it was skipped, and what arrived between two requests closed the connection already.

Cause: the id of a response was compared only if there was one. A response without it now ends the attempt like one with another id: the connection is closed and nothing is promised. The standalone product does not require the echo.

--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -257,7 +257,8 @@
 	if err != nil {
 		return nil, t.classifyError(err)
 	}
-	if echo := resp.Header[headerRequestID]; len(echo) > 0 && echo[0] != t.exchange.id {
+	switch echo := resp.Header[headerRequestID]; {
+	case len(echo) > 0 && echo[0] != t.exchange.id, len(echo) == 0 && t.proxy.cfg.Dialect.EchoesRequestID:
 		return nil, t.crossed()
 	}
 	if name := t.proxy.cfg.Dialect.RequiredHeader; name != "" && success(resp.StatusCode) && resp.Header[name] == nil {
--- a/internal/route/proxy/dialect.go
+++ b/internal/route/proxy/dialect.go
@@ -44,6 +44,9 @@
 	DrainingHeader string
 	// KeepRequestID forwards the caller's request id without a random part.
 	KeepRequestID bool
+	// EchoesRequestID means that backend servers echo the request id in all
+	// responses. One without it may belong to another request.
+	EchoesRequestID bool
 	// OmitForwardedHeaders adds no X-Forwarded-*, Forwarded or trace headers.
 	OmitForwardedHeaders bool
 	// RetryOn500 retries idempotent requests when a backend server responds with
