Let the load of other regions rise by and by while the own one refuses

Cause: in the burst, requests for objects kept in se-east are refused for want of room, those for objects kept in other regions are not. No object moves, and at most 7 in 100 of the requests run elsewhere than their object's server, but the share of the other regions jumps.

Change: RegionChange also knows the share of requests in other regions and how many the own one refused; while it refuses more than 5 in 100, the share may lead its value of some seconds before by 6 in 100. That value follows in time, not per request, as a burst would otherwise carry it along.

Ruled out: a bound on the share for the whole overload, which would refuse more than a third of what can be served.

--- a/internal/route/place/region.go
+++ b/internal/route/place/region.go
@@ -13,13 +13,17 @@
 	// its cause ends.
 	maxShiftStep = 0.02
 	maxShift     = 0.06
-	// recentTime and earlierTime are the time constants of the two, and
-	// recentRequests and earlierRequests the numbers of requests that they cover at
-	// least.
-	recentTime      = time.Second
-	earlierTime     = 3 * time.Second
-	recentRequests  = 50
-	earlierRequests = 150
+	// maxRemoteStep is how far the share of the latest requests that run in other
+	// regions may exceed that of those before, once the own region refuses more than
+	// overloadShare of its requests.
+	maxRemoteStep = 0.06
+	overloadShare = 0.05
+	// recentTime is the time constant over which the latest requests count, and
+	// recentRequests the number of requests that it covers at least. earlierTime is
+	// the time constant with which the values before follow.
+	recentTime     = time.Second
+	recentRequests = 50
+	earlierTime    = 3 * time.Second
 	// maxMoveRate is the part of the objects that may move to another region in
 	// each second, over all hosts.
 	maxMoveRate = 0.025
@@ -30,10 +34,13 @@
 // RegionChange bounds how fast the requests of a host change the region in which
 // they run. In an overload, or when servers name rate limits, requests find room
 // only in other regions; if all of them went there at once, the load of these
-// regions would jump, and again when they all come back. The zero value is ready to
-// use.
+// regions would jump, and again when they all come back.
 type RegionChange struct {
-	recent, earlier regionShift
+	// Own is the region of this host.
+	Own    cove.Region
+	recent regionShift
+	// earlierGain and earlierRemote follow the values of recent.
+	earlierGain, earlierRemote float64
 	// added is when the last request was counted.
 	added time.Time
 	// asked is when MayMove was last called.
@@ -43,19 +50,26 @@
 // regionShift is by how much the regions in which the latest requests ran differ
 // from those of the servers of their objects.
 type regionShift struct {
-	total float64
+	// total is the number of requests, remote that of those in other regions than
+	// that of this host, and refused that of those that found no room in this one.
+	total, remote, refused float64
 	// gain is the number of requests that a region got in addition, negative if it
 	// lost some.
 	gain map[cove.Region]float64
 }
 
 // add counts a request, after the time since the last one.
-func (s *regionShift) add(home, region cove.Region, since, window time.Duration, requests float64) {
-	decay := max(math.Exp(-float64(since)/float64(window)), 1-1/requests)
+func (s *regionShift) add(own, home, region cove.Region, since time.Duration) {
+	decay := max(math.Exp(-float64(since)/float64(recentTime)), 1-1.0/recentRequests)
 	s.total = s.total*decay + 1
+	s.remote *= decay
+	s.refused *= decay
 	for r := range s.gain {
 		s.gain[r] *= decay
 	}
+	if region != own {
+		s.remote++
+	}
 	if home == region {
 		return
 	}
@@ -76,6 +90,9 @@
 	return n
 }
 
+// share returns n as a share of the latest requests.
+func (s *regionShift) share(n float64) float64 { return n / max(s.total, recentRequests) }
+
 // MayLeave reports whether a request may run in a region although the server of its
 // object is in another one.
 func (c *RegionChange) MayLeave(home, region cove.Region) bool {
@@ -83,9 +100,7 @@
 		// It makes up for others that ran elsewhere.
 		return true
 	}
-	recent := (c.recent.gained() + 1) / max(c.recent.total+1, recentRequests)
-	earlier := c.earlier.gained() / max(c.earlier.total, 1)
-	return recent <= min(earlier+maxShiftStep, maxShift)
+	return c.recent.share(c.recent.gained()+1) <= min(c.earlierGain+maxShiftStep, maxShift)
 }
 
 // Add counts a request, the region of its object's server and the one in which it
@@ -93,8 +108,27 @@
 func (c *RegionChange) Add(home, region cove.Region, now time.Time) {
 	since := now.Sub(c.added)
 	c.added = now
-	c.recent.add(home, region, since, recentTime, recentRequests)
-	c.earlier.add(home, region, since, earlierTime, earlierRequests)
+	c.recent.add(c.Own, home, region, since)
+	weight := 1 - math.Exp(-float64(since)/float64(earlierTime))
+	if c.recent.total < recentRequests/2 {
+		// There is nothing yet to compare the first requests with.
+		weight = 1
+	}
+	c.earlierGain += weight * (c.recent.share(c.recent.gained()) - c.earlierGain)
+	c.earlierRemote += weight * (c.recent.share(c.recent.remote) - c.earlierRemote)
+}
+
+// Refused counts a request that found no room in the region of this host.
+func (c *RegionChange) Refused() { c.recent.refused++ }
+
+// MayRunRemotely reports whether a request may run in another region. While the own
+// region refuses requests, the share of the others rises although they get no more
+// than before, and rises at once if the load does.
+func (c *RegionChange) MayRunRemotely() bool {
+	if c.recent.refused <= overloadShare*c.recent.total {
+		return true
+	}
+	return c.recent.share(c.recent.remote+1) <= c.earlierRemote+maxRemoteStep
 }
 
 // MayMove reports whether an object that would run better in another region may move
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -108,7 +108,8 @@
 		minRTTs:  make(map[cove.Domain]*place.MinRTT),
 		statuses: make(map[serverRun]runStatus),
 
-		started: clock.Now(), regionKey: xxhash.Sum64String(string(self.Region)),
+		regionChange: place.RegionChange{Own: self.Region},
+		started:      clock.Now(), regionKey: xxhash.Sum64String(string(self.Region)),
 	}
 	tables.Watch(b.apply)
 	return b
@@ -231,8 +232,15 @@
 		c.choice.Index = slices.IndexFunc(b.candidates, func(c place.Candidate) bool { return !c.Blocked })
 	case place.NoRoom:
 		b.counters.Add("steer.noRoom", 1)
+		if c.sticky && c.home == b.self.Region {
+			b.regionChange.Refused()
+		}
 		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", jitter(req.ID, c.choice.RetryAfter))
 	}
+	if region := order[c.choice.Index].domain.region; c.sticky && region != b.self.Region && !b.mayShift(p, b.self.Region, now) && !b.regionChange.MayRunRemotely() {
+		b.counters.Add("steer.remoteLimit", 1)
+		return nil, refuse(cove.ReasonNoRoom, "load of other regions may not rise faster", jitter(req.ID, noServerRetryAfter))
+	}
 	c.server, c.candidate = order[c.choice.Index], b.candidates[c.choice.Index]
 	return c, nil
 }
