Read over the change: regions of steer in a file, hosts that share counted once

No behaviour is meant to change, but that a server of an unlisted failure domain is no longer among those that objects are assigned to (its domain was read without a check since; decodeServer refuses such entries), and that Beacon.Sharing no longer walks the hosts.

--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -297,10 +297,7 @@
 func (s *Service) Sharing() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.view.topology == regionMesh {
-		return len(s.view.meshPeers()) + 1
-	}
-	return len(s.view.sorted)
+	return s.view.sharing
 }
 
 // Neighbors returns the hosts to which a message for all hosts is to be sent. In a
--- a/internal/fleet/beacon/view.go
+++ b/internal/fleet/beacon/view.go
@@ -79,6 +79,9 @@
 	self     Host
 	topology topology
 	hosts    map[cove.HostID]*hostState
+	// sharing is the number of hosts that get the messages for all hosts, including
+	// this one.
+	sharing int
 	// sorted holds all hosts, addrs the addresses of their peer ports.
 	sorted []*hostState
 	addrs  map[netip.Addr]bool
@@ -131,6 +134,10 @@
 	default:
 		v.topology = clustered
 	}
+	v.sharing = len(next)
+	if v.topology == regionMesh {
+		v.sharing = regionHosts
+	}
 	v.groupByDomain()
 	return true
 }
--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -132,26 +132,6 @@
 	b.enqueueUpdate(p, p.assignments.Assign(object, to.key, current.Work, now))
 }
 
-// mayMoveRegion reports whether an object may move from a server to one of another
-// region.
-func (b *Balancer) mayMoveRegion(p *pool, from *server, req *cove.RequestInfo, now time.Time) bool {
-	if b.mayShift(p, from.domain.region, now) {
-		return true
-	}
-	objects := 0
-	for _, p := range b.pools {
-		objects += p.assignments.Len()
-	}
-	return b.regionChange.MayMove(now, objects, b.hosts.Sharing(), uniform(req.ID))
-}
-
-// recordMove records that an object moves from a server, which may be nil.
-func (b *Balancer) recordMove(from, to *server) {
-	if from != nil && from.domain.region != to.domain.region {
-		b.counters.Add("steer.movedRegion", 1)
-	}
-}
-
 // OnUpdate sets a function to be called when there is an update for other hosts.
 // It must not block or call b, and must be set before the first request.
 func (b *Balancer) OnUpdate(fn func()) { b.onUpdate = fn }
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -109,7 +109,8 @@
 		statuses: make(map[serverRun]runStatus),
 
 		regionChange: place.RegionChange{Own: self.Region},
-		started:      clock.Now(), regionKey: xxhash.Sum64String(string(self.Region)),
+		regionKey:    xxhash.Sum64String(string(self.Region)),
+		started:      clock.Now(),
 	}
 	tables.Watch(b.apply)
 	return b
@@ -211,13 +212,7 @@
 	}
 	b.candidates[0].Blocked = c.blocked
 	c.home = order[0].domain.region
-	if c.sticky && !b.mayShift(p, c.home, now) {
-		for i, srv := range order {
-			if r := srv.domain.region; r != c.home && !b.regionChange.MayLeave(c.home, r) {
-				b.candidates[i].Blocked = true
-			}
-		}
-	}
+	b.limitRegions(c, order, now)
 	queueLimit := p.overload.Limit(now, b.candidates[0].QueueTime(), p.queueLimit(req, c.times, now))
 	c.choice = place.Choose(b.candidates, req.Deadline.Sub(now), queueLimit)
 	switch c.choice.Verdict {
@@ -237,7 +232,7 @@
 		}
 		return nil, refuse(cove.ReasonNoRoom, "backend servers are full", jitter(req.ID, c.choice.RetryAfter))
 	}
-	if region := order[c.choice.Index].domain.region; c.sticky && region != b.self.Region && !b.mayShift(p, b.self.Region, now) && !b.regionChange.MayRunRemotely() {
+	if !b.mayRunIn(order[c.choice.Index].domain.region, c, now) {
 		b.counters.Add("steer.remoteLimit", 1)
 		return nil, refuse(cove.ReasonNoRoom, "load of other regions may not rise faster", jitter(req.ID, noServerRetryAfter))
 	}
@@ -391,27 +386,6 @@
 	return weight
 }
 
-// remoteRTT returns the mean round trip to the failure domains of other regions.
-// While none has been measured it is a guess. ok is false if there are none.
-func (b *Balancer) remoteRTT() (rtt time.Duration, measured, ok bool) {
-	var sum time.Duration
-	n := 0
-	for _, d := range b.domains {
-		if d.region == b.self.Region {
-			continue
-		}
-		ok = true
-		if rtt, known := d.minRTT.Get(); known {
-			sum += rtt
-			n++
-		}
-	}
-	if n == 0 {
-		return remoteRTT, false, ok
-	}
-	return sum / time.Duration(n), true, true
-}
-
 // score ranks the servers for an object. Without an object, the least loaded
 // nearby server is best.
 func (b *Balancer) score(p *pool, srv *server, object uint64, localWeight float64, now time.Time) float64 {
--- a/internal/route/steer/roundtrip.go
+++ b/internal/route/steer/roundtrip.go
@@ -29,6 +29,27 @@
 	return m
 }
 
+// remoteRTT returns the mean round trip to the failure domains of other regions.
+// While none has been measured it is a guess. ok is false if there are none.
+func (b *Balancer) remoteRTT() (rtt time.Duration, measured, ok bool) {
+	var sum time.Duration
+	n := 0
+	for _, d := range b.domains {
+		if d.region == b.self.Region {
+			continue
+		}
+		ok = true
+		if rtt, known := d.minRTT.Get(); known {
+			sum += rtt
+			n++
+		}
+	}
+	if n == 0 {
+		return remoteRTT, false, ok
+	}
+	return sum / time.Duration(n), true, true
+}
+
 // RoundTrip returns the shortest round trip to a failure domain and reports whether
 // it has been measured.
 func (b *Balancer) RoundTrip(name cove.Domain) (time.Duration, bool) {
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -233,9 +233,10 @@
 		srv.misplaced = false
 		p.servers[r.ID] = srv
 		p.list = append(p.list, srv)
-		if !srv.draining() {
+		switch {
+		case !srv.draining() && srv.domain != nil:
 			p.byKey[srv.key] = srv
-		} else if before := old[r.ID]; before == srv && !wasDraining {
+		case srv.draining() && !wasDraining && old[r.ID] == srv:
 			p.recordLoss(srv, now)
 		}
 		if now.Before(srv.coldUntil) {
@@ -251,43 +252,6 @@
 	p.countSlots()
 }
 
-// lossWindow is how long after the loss of a server its region may be short of
-// servers for that reason.
-const lossWindow = 5 * time.Second
-
-// recordLoss records that a server has left or cannot be reached.
-func (p *pool) recordLoss(srv *server, now time.Time) {
-	if srv.domain == nil {
-		return
-	}
-	if p.lostAt == nil {
-		p.lostAt = make(map[cove.Region]time.Time)
-	}
-	p.lostAt[srv.domain.region] = now
-}
-
-// startupTime is how long after the start of this host its requests may run
-// anywhere: objects have not been assigned yet, and those of hosts that were lost
-// with it are cold.
-const startupTime = 5 * time.Second
-
-// mayShift reports whether requests for a pool may leave a region without a bound:
-// the region is short of servers because of a loss, or this host has just started.
-func (b *Balancer) mayShift(p *pool, region cove.Region, now time.Time) bool {
-	if now.Sub(b.started) < startupTime {
-		return true
-	}
-	if at, ok := p.lostAt[region]; ok && now.Sub(at) < lossWindow {
-		return true
-	}
-	for _, d := range b.domains {
-		if d.region == region && d.evacuated {
-			return true
-		}
-	}
-	return false
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
