Keep what a server says while its entry is away

A response that arrives while the entry or the pool of its server is away, or after it has come back, was taken for one of another run, and its sign of leaving was dropped. The same run then got requests again.

Cause: the state that the request was sent with was compared by identity. Runs are compared by id, address and start now, and what a run says is kept even if it is not listed.

--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -62,18 +62,28 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t.pool.servers[t.server.row.ID] != t.server {
-		// Another run of the server has taken its place.
-		return
+	// The entry or the pool of the server may have been away since the request was
+	// sent, or still be away.
+	p := b.pools[t.target.Pool]
+	listed := p != nil && p.servers[t.server.row.ID] != nil && runOf(&p.servers[t.server.row.ID].row) == runOf(&t.server.row)
+	srv := t.server
+	if listed {
+		srv = p.servers[t.server.row.ID]
 	}
 	if status.Draining {
-		b.recordDraining(t.pool, t.server, now)
+		b.recordDraining(srv, now)
 	}
 	if status.RetryAfter > 0 {
-		b.recordPause(t.server, status.RetryAfter, now)
+		b.recordPause(srv, status.RetryAfter, now)
+	}
+	if !listed {
+		return
+	}
+	if status.Draining {
+		p.dropDraining(srv, now)
 	}
 	if !status.LimitUnreadable {
-		b.recordLimit(t.pool, t.server, status.Limit, now)
+		b.recordLimit(p, srv, status.Limit, now)
 	}
 }
 
--- a/internal/route/steer/status.go
+++ b/internal/route/steer/status.go
@@ -41,21 +41,27 @@
 func (s *server) paused(now time.Time) bool { return now.Before(s.said.pausedUntil) }
 
 // recordDraining records that a server has said that it is about to leave.
-func (b *Balancer) recordDraining(p *pool, srv *server, now time.Time) {
+func (b *Balancer) recordDraining(srv *server, now time.Time) {
 	if srv.said.draining {
 		return
 	}
 	srv.said.draining = true
 	b.keepStatus(srv, now)
-	delete(p.byKey, srv.key)
-	p.recordLoss(srv, now)
-	p.countSlots()
 	b.events.Emit("server.draining", "response",
 		cove.Field{Name: "server", Value: string(srv.row.ID)},
-		cove.Field{Name: "pool", Value: string(p.row.Name)},
 		cove.Field{Name: "listedAsDraining", Value: strconv.FormatBool(srv.row.Draining)})
 }
 
+// dropDraining makes sure that objects are not assigned to a draining server.
+func (p *pool) dropDraining(srv *server, now time.Time) {
+	if p.byKey[srv.key] != srv {
+		return
+	}
+	delete(p.byKey, srv.key)
+	p.recordLoss(srv, now)
+	p.countSlots()
+}
+
 // recordPause records that a server wants no request of this host for a time.
 func (b *Balancer) recordPause(srv *server, pause time.Duration, now time.Time) {
 	srv.said.pausedUntil = later(srv.said.pausedUntil, now.Add(pause))
@@ -63,16 +69,21 @@
 	b.counters.Add("steer.paused", 1)
 }
 
-// keepStatus keeps what the run of a server has said.
+// keepStatus keeps what the run of a server has said, and adds what it said before.
 func (b *Balancer) keepStatus(srv *server, now time.Time) {
-	srv.said.listed = now
-	b.statuses[runOf(&srv.row)] = srv.said
+	run := runOf(&srv.row)
+	before := b.statuses[run]
+	srv.said = runStatus{
+		draining:    srv.said.draining || before.draining,
+		pausedUntil: later(srv.said.pausedUntil, before.pausedUntil),
+		listed:      now,
+	}
+	b.statuses[run] = srv.said
 }
 
 // restoreStatus sets what the run of a listed server has said before.
 func (b *Balancer) restoreStatus(srv *server, now time.Time) {
-	if said, ok := b.statuses[runOf(&srv.row)]; ok {
-		srv.said = said
+	if _, ok := b.statuses[runOf(&srv.row)]; ok {
 		b.keepStatus(srv, now)
 	}
 }
--- a/internal/route/steer/status_test.go
+++ b/internal/route/steer/status_test.go
@@ -32,6 +32,14 @@
 
 // say makes a server say something in a response to host 0.
 func (f *fleet) say(t *testing.T, id cove.ServerID, status cove.ServerStatus) {
+	t.Helper()
+	p := f.admitAt(t, id)
+	p.Responded(status)
+	p.Done(okResult)
+}
+
+// admitAt returns a permit of host 0 for the server.
+func (f *fleet) admitAt(t *testing.T, id cove.ServerID) cove.Permit {
 	t.Helper()
 	for object := uint64(1); object < 1000; object++ {
 		p, err := f.admit(0, object, cove.Exclude{})
@@ -39,13 +47,12 @@
 			t.Fatal(err)
 		}
 		if p.Target().Server == id {
-			p.Responded(status)
-			p.Done(okResult)
-			return
+			return p
 		}
 		p.Done(okResult)
 	}
 	t.Fatalf("no request reached %s", id)
+	return nil
 }
 
 // Guards against requests to a server that has said that it leaves: at once, and
@@ -173,3 +180,33 @@
 		}
 	}
 }
+
+// Guards against a response that arrives while the entry or the pool of its server
+// is away, or after it has come back, and that is taken for one of another run.
+func TestStatusIsLostWhileEntryIsAway(t *testing.T) {
+	for name, away := range map[string]func(t *cove.Table){
+		"entry": func(t *cove.Table) { t.Pools[0].Servers = t.Pools[0].Servers[1:] },
+		"pool":  func(t *cove.Table) { t.Pools[0].Name = "other" },
+	} {
+		for _, late := range []bool{false, true} {
+			f := newFleet(1, 4)
+			before := f.table
+			p := f.admitAt(t, "s0")
+			f.change(away)
+			back := func() {
+				f.change(func(t *cove.Table) { t.Pools = before.Pools })
+			}
+			if late {
+				back()
+			}
+			p.Responded(drainingStatus)
+			p.Done(okResult)
+			if !late {
+				back()
+			}
+			if n := f.sentTo(t, "s0", 100); n > 0 {
+				t.Errorf("%s away, response late %v: %d of 100 requests reached the server", name, late, n)
+			}
+		}
+	}
+}
