Count the runs of TestEarlierRefusalAnswersNextRequest by request

Cause: the stand-in wrote the repeated refusals before it counted the run. The caller has its 502 as soon as those arrive, so under load the run was counted after the test had reset the counter for its next request. A pause of 5 ms between the two made the old test fail in six cases and more.

The run is now counted by its id, and before anything is written, so that none is missed either: the check is stricter. It still fails in three cases without the required echo. Passed 25 times with the race detector beside eight busy processes. No code of the product changes.

--- a/internal/route/proxy/refusal_test.go
+++ b/internal/route/proxy/refusal_test.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,7 +74,8 @@
 		{name: "at once, without an id", before: refusal("503 Busy", "", empty)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var runs atomic.Int64
+			var mu sync.Mutex
+			runs := make(map[string]int)
 			serve := func(nc net.Conn, br *bufio.Reader) {
 				first := ""
 				for n := 0; ; n++ {
@@ -89,11 +90,15 @@
 						_, _ = io.WriteString(nc, refusal("503 Busy", "X-Request-Id: "+id+"\r\n", empty)+fill(c.before, id))
 						continue
 					}
+					// Counted before anything is written: the caller may have its
+					// answer as soon as that arrives.
+					mu.Lock()
+					runs[id]++
+					mu.Unlock()
 					if first != "" {
 						_, _ = io.WriteString(nc, fill(c.after, first))
 						first = ""
 					}
-					runs.Add(1)
 					// The run takes a while, so that a wrong answer comes first.
 					time.Sleep(20 * time.Millisecond)
 					_, _ = fmt.Fprintf(nc, ok, id)
@@ -103,9 +108,11 @@
 			h := newHost(t, "a", nil, Config{Dialect: platformDialect()}, target, newRawServer(t, "s1", serve))
 			for i := range 4 {
 				postWithID(t, h.url+fmt.Sprint("/open/refuse", i), fmt.Sprint("first", i))
-				runs.Store(0)
-				status := postWithID(t, h.url+"/open/run", fmt.Sprint("second", i))
-				n := runs.Load()
+				id := fmt.Sprint("second", i)
+				status := postWithID(t, h.url+"/open/run", id)
+				mu.Lock()
+				n := runs[id]
+				mu.Unlock()
 				if n > 1 {
 					t.Errorf("request %d ran %d times", i, n)
 				}
