Decode messages between hosts in one place

Topics, counters and what the handlers do are as before; the tests of direct and platform pass unchanged.

--- a/internal/ops/direct/crash.go
+++ b/internal/ops/direct/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/route/crash"
@@ -26,11 +25,6 @@
 }
 
 // handleCrashes applies what another host has told.
-func (h *Host) handleCrashes(_ cove.HostID, body json.RawMessage) {
-	var updates []crash.Update
-	if err := json.Unmarshal(body, &updates); err != nil {
-		h.Counters.Add("crash.unreadable", 1)
-		return
-	}
+func (h *Host) handleCrashes(_ cove.HostID, updates []crash.Update) {
 	h.crashes.Apply(updates)
 }
--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"maps"
 	"net/netip"
@@ -89,15 +90,15 @@
 	h.Beacon = &beacon.Service{Self: o.Self, Clock: h.Clock, Counters: h.Counters, Events: h.Events}
 	h.Relay = &relay.Service{Self: o.Self, Clock: h.Clock, Hosts: h.Beacon, Counters: h.Counters, Events: h.Events}
 	h.Beacon.SetHosts([]beacon.Host{o.Self})
-	h.Beacon.Handle(tokenRequestTopic, h.handleTokenRequest)
-	h.Beacon.Handle(tokenGrantTopic, h.handleTokenGrant)
-	h.Beacon.Handle(quotaRequestTopic, h.handleQuotaRequest)
-	h.Beacon.Handle(quotaGrantTopic, h.handleQuotaGrant)
-	h.Beacon.Handle(assignmentTopic, h.handleAssignments)
-	h.Beacon.Handle(limitTopic, h.handleLimits)
-	h.Beacon.Handle(crashTopic, h.handleCrashes)
+	handle(h, tokenRequestTopic, "split.unreadable", h.handleTokenRequest)
+	handle(h, tokenGrantTopic, "split.unreadable", h.handleTokenGrant)
+	handle(h, quotaRequestTopic, "quota.unreadable", h.handleQuotaRequest)
+	handle(h, quotaGrantTopic, "quota.unreadable", h.handleQuotaGrant)
+	handle(h, assignmentTopic, "steer.noteUnreadable", h.handleAssignments)
+	handle(h, limitTopic, "steer.noteUnreadable", h.handleLimits)
+	handle(h, crashTopic, "crash.unreadable", h.handleCrashes)
+	handle(h, echoReplyTopic, "echo.unreadable", h.handleEchoReply)
 	h.Beacon.Handle(echoTopic, h.handleEcho)
-	h.Beacon.Handle(echoReplyTopic, h.handleEchoReply)
 	h.Beacon.Watch(func() {
 		h.split.Recompute()
 		h.quotas.Recompute()
@@ -134,6 +135,19 @@
 	return h
 }
 
+// handle registers a function for the messages of a topic. Those that cannot be
+// decoded are counted as unreadable.
+func handle[T any](h *Host, topic, unreadable string, fn func(from cove.HostID, m T)) {
+	h.Beacon.Handle(topic, func(from cove.HostID, body json.RawMessage) {
+		var m T
+		if err := json.Unmarshal(body, &m); err != nil {
+			h.Counters.Add(unreadable, 1)
+			return
+		}
+		fn(from, m)
+	})
+}
+
 // alwaysFresh reports the keys as up to date at all times: the platform bounds
 // the time until a withdrawal takes effect only for hosts that reach its store,
 // and a host that is cut off keeps serving.
--- a/internal/ops/direct/echo.go
+++ b/internal/ops/direct/echo.go
@@ -73,12 +73,7 @@
 }
 
 // handleEchoReply takes the measurement from a message that has come back.
-func (h *Host) handleEchoReply(from cove.HostID, body json.RawMessage) {
-	var m echoMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		h.Counters.Add("echo.unreadable", 1)
-		return
-	}
+func (h *Host) handleEchoReply(from cove.HostID, m echoMessage) {
 	rtt := h.Clock.Now().Sub(h.started) - time.Duration(m.SentNanos)
 	if rtt <= 0 || rtt > maxRTT {
 		return
--- a/internal/ops/direct/spread.go
+++ b/internal/ops/direct/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -120,12 +119,7 @@
 
 // handleAssignments applies updates from another host, sends back corrections,
 // and passes on what was news where that is needed.
-func (h *Host) handleAssignments(from cove.HostID, body json.RawMessage) {
-	var updates []steer.AssignmentUpdate
-	if err := json.Unmarshal(body, &updates); err != nil {
-		h.Counters.Add("steer.noteUnreadable", 1)
-		return
-	}
+func (h *Host) handleAssignments(from cove.HostID, updates []steer.AssignmentUpdate) {
 	news, corrections := h.steer.ApplyUpdates(updates)
 	if len(corrections) > 0 {
 		h.Beacon.Send(from, assignmentTopic, corrections)
@@ -135,12 +129,7 @@
 
 // handleLimits applies what another host has told of the limits of backend
 // servers, and passes on what was news where that is needed.
-func (h *Host) handleLimits(from cove.HostID, body json.RawMessage) {
-	var updates []steer.LimitUpdate
-	if err := json.Unmarshal(body, &updates); err != nil {
-		h.Counters.Add("steer.noteUnreadable", 1)
-		return
-	}
+func (h *Host) handleLimits(from cove.HostID, updates []steer.LimitUpdate) {
 	passOn(h, &h.limits, h.steer.ApplyLimits(updates), from)
 }
 
--- a/internal/ops/direct/tokens.go
+++ b/internal/ops/direct/tokens.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/limit/split"
@@ -58,22 +57,12 @@
 }
 
 // handleTokenRequest answers a request for tokens with a grant.
-func (h *Host) handleTokenRequest(from cove.HostID, body json.RawMessage) {
-	var m tokenMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		h.Counters.Add("split.unreadable", 1)
-		return
-	}
+func (h *Host) handleTokenRequest(from cove.HostID, m tokenMessage) {
 	h.Beacon.Send(from, tokenGrantTopic, tokenMessage{m.Team, h.split.Lend(from, m.Team, m.Tokens)})
 }
 
 // handleTokenGrant passes a grant, which may be of no tokens, to the limiter.
-func (h *Host) handleTokenGrant(_ cove.HostID, body json.RawMessage) {
-	var m tokenMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		h.Counters.Add("split.unreadable", 1)
-		return
-	}
+func (h *Host) handleTokenGrant(_ cove.HostID, m tokenMessage) {
 	h.split.Receive(m.Team, m.Tokens)
 }
 
@@ -117,12 +106,7 @@
 
 // handleQuotaRequest answers a request for tokens with a grant, and tells a host
 // that does not know it that the limit has ended.
-func (h *Host) handleQuotaRequest(from cove.HostID, body json.RawMessage) {
-	var m quotaMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		h.Counters.Add("quota.unreadable", 1)
-		return
-	}
+func (h *Host) handleQuotaRequest(from cove.HostID, m quotaMessage) {
 	h.steer.ApplyLimits([]steer.LimitUpdate{m.LimitUpdate})
 	known, ok := h.steer.LimitUpdate(m.Server)
 	switch {
@@ -138,11 +122,6 @@
 }
 
 // handleQuotaGrant passes a grant, which may be of no tokens, to the limiter.
-func (h *Host) handleQuotaGrant(_ cove.HostID, body json.RawMessage) {
-	var m quotaMessage
-	if err := json.Unmarshal(body, &m); err != nil {
-		h.Counters.Add("quota.unreadable", 1)
-		return
-	}
+func (h *Host) handleQuotaGrant(_ cove.HostID, m quotaMessage) {
 	h.quotas.Receive(m.Server, m.Tokens)
 }
