Find the listed run of a response in one place

permit.Responded looked the run of its server up in a nested condition and dealt with a draining server in two branches. Balancer.listedRun does the look-up, and recordDraining takes the objects away itself.

--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -62,27 +62,18 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	// The entry or the pool of the server may have been away since the request was
-	// sent, or still be away.
-	p := b.pools[t.target.Pool]
-	listed := p != nil && p.servers[t.server.row.ID] != nil && runOf(&p.servers[t.server.row.ID].row) == runOf(&t.server.row)
-	srv := t.server
-	if listed {
-		srv = p.servers[t.server.row.ID]
+	p, srv := b.listedRun(t.target.Pool, runOf(&t.server.row))
+	if srv == nil {
+		// What the run says counts when it is listed again.
+		srv = t.server
 	}
 	if status.Draining {
-		b.recordDraining(srv, now)
+		b.recordDraining(p, srv, now)
 	}
 	if status.RetryAfter > 0 {
 		b.recordPause(srv, status.RetryAfter, now)
 	}
-	if !listed {
-		return
-	}
-	if status.Draining {
-		p.dropDraining(srv, now)
-	}
-	if !status.LimitUnreadable {
+	if p != nil && !status.LimitUnreadable {
 		b.recordLimit(p, srv, status.Limit, now)
 	}
 }
--- a/internal/route/steer/status.go
+++ b/internal/route/steer/status.go
@@ -20,6 +20,20 @@
 	return serverRun{id: row.ID, addr: row.Addr, started: row.Started.UnixMilli()}
 }
 
+// listedRun returns the server of a listed run and its pool, or nil. The entry or the
+// pool may have been away since a request was sent, so that both are new.
+func (b *Balancer) listedRun(name cove.PoolName, run serverRun) (*pool, *server) {
+	p := b.pools[name]
+	if p == nil {
+		return nil, nil
+	}
+	srv := p.servers[run.id]
+	if srv == nil || runOf(&srv.row) != run {
+		return nil, nil
+	}
+	return p, srv
+}
+
 // runStatus is what a run of a server has said of itself in its responses.
 type runStatus struct {
 	draining bool
@@ -40,13 +54,17 @@
 // paused reports whether the server wants no request of this host now.
 func (s *server) paused(now time.Time) bool { return now.Before(s.said.pausedUntil) }
 
-// recordDraining records that a server has said that it is about to leave.
-func (b *Balancer) recordDraining(srv *server, now time.Time) {
+// recordDraining records that a server has said that it is about to leave. p is nil
+// if its run is not listed.
+func (b *Balancer) recordDraining(p *pool, srv *server, now time.Time) {
 	if srv.said.draining {
 		return
 	}
 	srv.said.draining = true
 	b.keepStatus(srv, now)
+	if p != nil {
+		p.dropDraining(srv, now)
+	}
 	b.events.Emit("server.draining", "response",
 		cove.Field{Name: "server", Value: string(srv.row.ID)},
 		cove.Field{Name: "listedAsDraining", Value: strconv.FormatBool(srv.row.Draining)})
