Announce only hosts with heartbeats as live or silent

Cause: hosts of such fleets exchange heartbeats within their region only. Messages for other purposes (measurements of the round trip every 5 s, requests for tokens) also come from other regions, and each made its sender count as live for 1.3 s, after which it was announced as silent.

Nothing else followed from it: look-ups and requests for tokens take hosts of other regions for live in such fleets anyway, and readers are chosen within a region.

Change: in such fleets only hosts that send heartbeats to this one can be live or silent. TestOccasionalMessagesAreNoHeartbeats failed before with 1,530 events in 30 s of a calm fleet of 81 hosts in virtual time.

--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -205,22 +205,10 @@
 	}
 }
 
-// updateLiveness emits an event for each host that has become live or silent. In
-// a clustered fleet it covers the own failure domain.
+// updateLiveness emits an event for each host that has become live or silent.
 func (s *Service) updateLiveness() {
-	now := s.Clock.Now()
 	s.mu.Lock()
-	watched := s.view.sorted
-	if s.view.topology == clustered {
-		watched = s.view.domainHosts
-	}
-	var changes []*hostState
-	for _, h := range watched {
-		if live := s.view.alive(h, now); live != h.live && h.ID != s.Self.ID {
-			h.live = live
-			changes = append(changes, h)
-		}
-	}
+	changes := s.view.updateLiveness(s.Clock.Now())
 	s.mu.Unlock()
 	for _, h := range changes {
 		kind, cause := "host.live", "heartbeat"
--- a/internal/fleet/beacon/view.go
+++ b/internal/fleet/beacon/view.go
@@ -352,12 +352,34 @@
 	return v.domains[i]
 }
 
+// updateLiveness returns the hosts that have become live or silent since the last
+// call, of those whose heartbeats reach this host.
+func (v *view) updateLiveness(now time.Time) []*hostState {
+	watched := v.domainHosts
+	if v.topology != clustered {
+		watched = v.meshPeers()
+	}
+	var changes []*hostState
+	for _, h := range watched {
+		if live := v.alive(h, now); live != h.live && h.ID != v.self.ID {
+			h.live = live
+			changes = append(changes, h)
+		}
+	}
+	return changes
+}
+
 // alive reports whether a host counts as live. Nothing is known of the hosts of
-// other regions in a regionMesh.
+// other regions in a regionMesh: they send no heartbeats to this one, and other
+// messages only now and then.
 func (v *view) alive(h *hostState, now time.Time) bool {
 	silence := now.Sub(h.lastHeard)
 	switch {
-	case h.ID == v.self.ID || !h.lastHeard.IsZero() && silence < heartbeatTimeout:
+	case h.ID == v.self.ID:
+		return true
+	case v.topology == regionMesh && !v.meshed(h):
+		return false
+	case !h.lastHeard.IsZero() && silence < heartbeatTimeout:
 		return true
 	case v.topology != clustered || h.Domain == v.self.Domain:
 		return false
--- a/internal/fleet/beacon/view_test.go
+++ b/internal/fleet/beacon/view_test.go
@@ -273,3 +273,32 @@
 		t.Errorf("%s in another region does not count as live", id)
 	}
 }
+
+// Guards against live hosts that are announced as silent because they only answer
+// measurements or requests for tokens, and send no heartbeats.
+func TestOccasionalMessagesAreNoHeartbeats(t *testing.T) {
+	s := newSimulation(9, 9)
+	if v := s.views[0]; v.topology != regionMesh {
+		t.Fatalf("topology %d", v.topology)
+	}
+	silent, rounds := 0, 0
+	s.run(30*time.Second, func() {
+		if s.now.UnixMilli()%heartbeatInterval.Milliseconds() != 0 {
+			return
+		}
+		rounds++
+		for i, v := range s.views {
+			if from := s.rand.IntN(len(s.hosts)); from != i && rounds%10 < 3 {
+				v.observe(v.hosts[s.hosts[from].ID], &message{From: s.hosts[from].ID}, s.now)
+			}
+			for _, h := range v.updateLiveness(s.now) {
+				if !h.live {
+					silent++
+				}
+			}
+		}
+	})
+	if silent > 0 {
+		t.Errorf("%d times a live host is announced as silent", silent)
+	}
+}
