Pass requests on to another host while this one reaches no backend server

Cause: a host reached backend servers only by itself and did not know that it was isolated. It took each server for failed or restarted, waited for answers until the deadline, blamed requests for crashes, and look-ups went on naming it.

Change: failures without a recent success lead to rounds of probes; two rounds without a connection, and the word of another host that it reaches servers, make the host isolated. It then passes requests on with the protocol of the standalone product, accepts no callers in look-ups, and abandons idempotent requests that wait on hung connections.

--- a/internal/fleet/beacon/beacon.go
+++ b/internal/fleet/beacon/beacon.go
@@ -44,7 +44,8 @@
 // service if Topic is set.
 type message struct {
 	From cove.HostID `json:"from"`
-	// Leaving is set while the sender accepts no new callers.
+	// Leaving is set while the sender accepts no new callers, because it stops,
+	// has no tables yet, or reaches no backend server.
 	Leaving bool `json:"leaving,omitempty"`
 	// Sightings tells what the sender has seen of the hosts of its failure domain,
 	// Reports what it knows of other ones.
@@ -70,6 +71,7 @@
 	handlers  map[string]func(from cove.HostID, body json.RawMessage)
 	leaving   bool
 	accepting bool
+	isolated  bool
 	conn      net.PacketConn
 	tasks     *group.Group
 }
@@ -172,7 +174,7 @@
 func (s *Service) sendHeartbeats() {
 	now := s.Clock.Now()
 	s.mu.Lock()
-	m := message{From: s.Self.ID, Leaving: s.leaving || !s.accepting}
+	m := message{From: s.Self.ID, Leaving: s.acceptsNoCallers()}
 	beats := s.view.nextHeartbeats(now)
 	s.mu.Unlock()
 	var data []byte
@@ -316,7 +318,7 @@
 	}
 	s.mu.Lock()
 	h := s.view.hosts[to]
-	m := message{From: s.Self.ID, Leaving: s.leaving || !s.accepting, Topic: topic, Body: raw}
+	m := message{From: s.Self.ID, Leaving: s.acceptsNoCallers(), Topic: topic, Body: raw}
 	s.mu.Unlock()
 	if h == nil {
 		return
@@ -347,12 +349,23 @@
 	return h != nil && s.view.presumedLive(h, s.Clock.Now())
 }
 
-// HasPeerAt reports whether an address belongs to the peer port of a registered
-// host.
-func (s *Service) HasPeerAt(addr netip.Addr) bool {
+// PeerAt returns the registered host whose peer port is at an address.
+func (s *Service) PeerAt(addr netip.Addr) (cove.HostID, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.view.addrs[addr.Unmap()]
+	id, ok := s.view.addrs[addr.Unmap()]
+	return id, ok
+}
+
+// PeerAddr returns the address of the peer port of a registered host.
+func (s *Service) PeerAddr(id cove.HostID) (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.view.hosts[id]
+	if h == nil {
+		return netip.AddrPort{}, false
+	}
+	return h.Peer, true
 }
 
 // DomainOf returns the failure domain of a registered host.
@@ -402,13 +415,16 @@
 			return list[:min(len(list), limit)]
 		}
 	}
+	if s.isolated && s.accepting && !s.leaving {
+		return []netip.AddrPort{s.Self.Caller}
+	}
 	return nil
 }
 
 // acceptsCallers reports whether a host accepts new callers; s.mu is held.
 func (s *Service) acceptsCallers(h *hostState, now time.Time) bool {
 	if h.ID == s.Self.ID {
-		return s.accepting && !s.leaving
+		return !s.acceptsNoCallers()
 	}
 	return s.view.acceptsCallers(h, now)
 }
--- a/internal/fleet/beacon/view.go
+++ b/internal/fleet/beacon/view.go
@@ -84,7 +84,7 @@
 	sharing int
 	// sorted holds all hosts, addrs the addresses of their peer ports.
 	sorted []*hostState
-	addrs  map[netip.Addr]bool
+	addrs  map[netip.Addr]cove.HostID
 
 	// domainHosts holds the hosts of the own failure domain, including this one,
 	// in the order of their ids; peers holds the others in a random order. byKey
@@ -116,11 +116,11 @@
 	}
 	v.self, v.hosts = self, next
 	v.sorted = make([]*hostState, 0, len(next))
-	v.addrs = make(map[netip.Addr]bool, len(next))
+	v.addrs = make(map[netip.Addr]cove.HostID, len(next))
 	regionHosts := 0
 	for _, h := range next {
 		v.sorted = append(v.sorted, h)
-		v.addrs[h.Peer.Addr().Unmap()] = true
+		v.addrs[h.Peer.Addr().Unmap()] = h.ID
 		if h.Region == self.Region {
 			regionHosts++
 		}
--- a/internal/fleet/beacon/view_test.go
+++ b/internal/fleet/beacon/view_test.go
@@ -22,6 +22,8 @@
 	loss float64
 	// sent counts the messages of each host.
 	sent []int
+	// leaving is a failure domain whose hosts accept no callers.
+	leaving cove.Domain
 	// cut reports whether no message passes between two failure domains.
 	cut func(a, b cove.Domain) bool
 }
@@ -82,7 +84,7 @@
 			continue
 		}
 		v := s.views[to]
-		m := message{From: s.hosts[i].ID, Sightings: b.sightings, Reports: b.reports}
+		m := message{From: s.hosts[i].ID, Leaving: s.hosts[i].Domain == s.leaving, Sightings: b.sightings, Reports: b.reports}
 		v.observe(v.hosts[m.From], &m, s.now.Add(regionDelay))
 	}
 }
@@ -302,3 +304,52 @@
 		t.Errorf("%d times a live host is announced as silent", silent)
 	}
 }
+
+// Guards against requests that are passed on to hosts that are themselves isolated or
+// silent, to distant ones while near ones can take them, or to a few hosts of a
+// failure domain most of whose hosts are isolated.
+func TestSubstitutes(t *testing.T) {
+	for _, hosts := range []int{2, 10} {
+		s := newSimulation(6, hosts)
+		s.run(3*time.Second, nil)
+		s.down[1] = true
+		s.run(2*time.Second, nil)
+		v := s.views[0]
+		want := hosts - 2
+		if hosts == 2 {
+			want = 4
+		}
+		groups := v.substitutes(s.now)
+		if len(groups) == 0 || len(groups[0]) != want {
+			t.Fatalf("%d hosts a domain: %d groups, want %d hosts in the first", hosts, len(groups), want)
+		}
+		for _, h := range groups[0] {
+			if h.ID == s.hosts[0].ID || h.ID == s.hosts[1].ID || h.Region != s.hosts[0].Region {
+				t.Errorf("%d hosts a domain: %s is a substitute", hosts, h.ID)
+			}
+		}
+		// All others of the failure domain tell that they are isolated.
+		for i := 2; i < hosts; i++ {
+			h := v.hosts[s.hosts[i].ID]
+			v.observe(h, &message{From: h.ID, Leaving: true}, s.now)
+		}
+		groups = v.substitutes(s.now)
+		if len(groups) == 0 || len(groups[0]) != 2*hosts || groups[0][0].Domain == s.hosts[0].Domain {
+			t.Errorf("%d hosts a domain, all isolated: substitutes %v", hosts, groups)
+		}
+	}
+}
+
+// Guards against a failure domain that hears nothing of the others because all of its
+// hosts are isolated, so that they find nobody to pass their requests on to.
+func TestIsolatedDomainHearsOfOthers(t *testing.T) {
+	s := newSimulation(9, 33)
+	s.run(5*time.Second, nil)
+	s.leaving = s.hosts[0].Domain
+	s.run(2*reportTimeout, nil)
+	for i := range 33 {
+		if groups := s.views[i].substitutes(s.now); len(groups) == 0 || len(groups[0]) != 66 {
+			t.Fatalf("%s knows %d groups of substitutes", s.hosts[i].ID, len(groups))
+		}
+	}
+}
--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -44,15 +44,15 @@
 	// The reader recognizes this host by its address.
 	d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Self.Peer.Addr(), 0))
 	s.startedAt = s.Clock.Now()
-	s.client.Transport = &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
+	transport := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
+	s.client.Transport = transport
+	s.peers = http.Client{Transport: newPeerTransport(transport), CheckRedirect: noRedirect}
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", s.Self.Peer.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for table reads of other hosts")
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pagePath, s.servePage)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s.server = s.newServer()
 	s.tasks = group.New(context.Background())
 	s.tasks.Go(func(context.Context) error {
 		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -76,11 +76,6 @@
 }
 
 func (s *Service) servePage(w http.ResponseWriter, r *http.Request) {
-	if !s.registered(r.RemoteAddr) {
-		s.Counters.Add("relay.unknownSender", 1)
-		w.WriteHeader(http.StatusForbidden)
-		return
-	}
 	q := r.URL.Query()
 	after, err := parsePosition(q)
 	if err != nil {
@@ -127,16 +122,6 @@
 	return at, nil
 }
 
-// registered reports whether an address belongs to a registered host. The tables
-// hold the keys of teams, which nobody else may read.
-func (s *Service) registered(remote string) bool {
-	from, err := netip.ParseAddrPort(remote)
-	if err != nil {
-		return false
-	}
-	return s.Hosts.HasPeerAt(from.Addr())
-}
-
 // Read reads a table from its reader. A reader that fails is excluded for
 // suspectDuration.
 func (s *Service) Read(ctx context.Context, from beacon.Host, name string, after Position, whole bool) (Page, error) {
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -87,8 +87,10 @@
 type Hosts interface {
 	All() []beacon.Host
 	Live(cove.HostID) bool
-	// HasPeerAt reports whether a registered host has its peer port at an address.
-	HasPeerAt(netip.Addr) bool
+	// PeerAt returns the registered host whose peer port is at an address.
+	PeerAt(netip.Addr) (cove.HostID, bool)
+	// PeerAddr returns the address of the peer port of a registered host.
+	PeerAddr(cove.HostID) (netip.AddrPort, bool)
 	// Clustered reports whether the hosts of the region read in a tree.
 	Clustered() bool
 }
@@ -107,9 +109,12 @@
 	// startedAt is when the service was started.
 	startedAt time.Time
 
-	client http.Client
-	server *http.Server
-	tasks  *group.Group
+	// client reads tables of other hosts, peers passes on requests of callers.
+	client   http.Client
+	peers    http.Client
+	server   *http.Server
+	handlers http.ServeMux
+	tasks    *group.Group
 }
 
 // table is the cached state of a shared table.
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -37,8 +37,20 @@
 	return !f.silent[id]
 }
 
-func (f *fleet) HasPeerAt(addr netip.Addr) bool {
-	return slices.ContainsFunc(f.hosts, func(h beacon.Host) bool { return h.Peer.Addr() == addr })
+func (f *fleet) PeerAt(addr netip.Addr) (cove.HostID, bool) {
+	i := slices.IndexFunc(f.hosts, func(h beacon.Host) bool { return h.Peer.Addr() == addr })
+	if i < 0 {
+		return "", false
+	}
+	return f.hosts[i].ID, true
+}
+
+func (f *fleet) PeerAddr(id cove.HostID) (netip.AddrPort, bool) {
+	i := slices.IndexFunc(f.hosts, func(h beacon.Host) bool { return h.ID == id })
+	if i < 0 {
+		return netip.AddrPort{}, false
+	}
+	return f.hosts[i].Peer, true
 }
 
 func (f *fleet) setSilent(id cove.HostID) {
--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -69,6 +69,11 @@
 	// quotaRequests holds the requests for tokens of backend servers to be sent.
 	quotaRequests chan quotaRequest
 
+	// suspicion wakes watchIsolation.
+	suspicion signal
+	prober    prober
+	isolation isolationWatch
+
 	proxy   *proxy.Proxy
 	split   *split.Limiter[cove.Team]
 	quotas  *split.Limiter[cove.ServerID]
@@ -97,6 +102,8 @@
 	handle(h, assignmentTopic, "steer.noteUnreadable", h.handleAssignments)
 	handle(h, limitTopic, "steer.noteUnreadable", h.handleLimits)
 	handle(h, crashTopic, "crash.unreadable", h.handleCrashes)
+	handle(h, reachTopic, "isolation.unreadable", h.handleReach)
+	handle(h, reachReplyTopic, "isolation.unreadable", h.handleReachReply)
 	handle(h, echoReplyTopic, "echo.unreadable", h.handleEchoReply)
 	h.Beacon.Handle(echoTopic, h.handleEcho)
 	h.Beacon.Watch(func() {
@@ -113,6 +120,9 @@
 	h.quotaRequests = make(chan quotaRequest, maxQuotaRequests)
 	h.steer = steer.New(self, h.Clock, h.Tables, h.Beacon, h.quotas, h.Counters, h.Events, o.Steer)
 	h.steer.OnUpdate(h.updates.wake)
+	h.suspicion = newSignal()
+	h.prober.h = h
+	h.steer.OnSuspicion(h.suspicion.wake)
 	var log *audit.Log
 	if o.Out != nil {
 		log = &audit.Log{Out: o.Out, Host: o.Self.ID, Clock: h.Clock, Counters: h.Counters}
@@ -120,8 +130,8 @@
 	}
 	h.crashes = crash.New(self.ID, h.Clock, h.Events, h.Beacon)
 	h.proxy = proxy.New(proxy.Deps{
-		Crashes: h.crashes,
-		Audit:   log, Histograms: h.Counters,
+		Crashes: h.crashes, ReachesServers: h.reachesServers, Peers: h.Relay,
+		Audit: log, Histograms: h.Counters,
 		Self: self, Tables: h.Tables, Keys: keys.New(h.Clock, h.Tables, alwaysFresh{h.Clock}), Limiter: h.split,
 		Admitter: h.steer, Counters: h.Counters, Events: h.Events, Clock: h.Clock,
 	}, o.Proxy)
@@ -168,6 +178,7 @@
 	h.tasks.Go(h.requestQuotas)
 	h.tasks.Go(h.measureRoundTrips)
 	h.tasks.Go(h.spreadCrashes)
+	h.tasks.Go(h.watchIsolation)
 	return nil
 }
 
--- a/internal/route/health/server.go
+++ b/internal/route/health/server.go
@@ -218,6 +218,15 @@
 	s.errorRate /= 2
 }
 
+// Reset forgets all failures and ejections.
+func (s *Server) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errorRate, s.failures, s.timeouts, s.ejections = 0, 0, 0, 0
+	s.ejectionEnd = time.Time{}
+	s.ejectionEndNanos.Store(0)
+}
+
 // State returns the assessment of the server.
 func (s *Server) State(now time.Time) State {
 	s.mu.Lock()
--- a/internal/route/place/liveness.go
+++ b/internal/route/place/liveness.go
@@ -41,9 +41,15 @@
 	}
 }
 
+// Reset forgets how long requests have waited without a response.
+func (l *Liveness) Reset(now time.Time) { l.waitingSince = now }
+
 // Responsive reports whether the server has responded recently.
-func (l *Liveness) Responsive(now time.Time) bool {
-	return !l.lastResponse.IsZero() && now.Sub(l.lastResponse) < responsiveWindow
+func (l *Liveness) Responsive(now time.Time) bool { return l.RespondedWithin(responsiveWindow, now) }
+
+// RespondedWithin reports whether the last response arrived less than d ago.
+func (l *Liveness) RespondedWithin(d time.Duration, now time.Time) bool {
+	return !l.lastResponse.IsZero() && now.Sub(l.lastResponse) < d
 }
 
 // Stalled reports whether requests have waited longer than timeout without any
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -122,7 +122,9 @@
 		return nil, f
 	}
 	wait, reason := p.hedgeDelay(x)
+	p.waiting.add(t)
 	resp, err := t.upstream.awaitHead(wait)
+	p.waiting.remove(t)
 	if errors.Is(err, errNoAnswerYet) {
 		return p.hedge(x, t, reason)
 	}
@@ -139,7 +141,7 @@
 	t := &attempt{proxy: p, exchange: x, ctx: ctx, permit: permit, target: permit.Target(), started: p.Clock.Now()}
 	x.pinPool(t.target.Pool)
 	p.recordPlacement(x, t)
-	if x.attempts == 1 {
+	if x.attempts == 1 && !x.fromPeer {
 		p.retryBudgets.For(x.pool()).Earn()
 	}
 	if f := t.start(fresh); f != nil {
@@ -233,13 +235,16 @@
 	}
 }
 
-// avoid excludes a server, or the domain of a peer, from later attempts.
+// avoid excludes a server, or a peer or its domain, from later attempts.
 func (x *exchange) avoid(t cove.Target) {
-	if t.Server != "" {
+	switch {
+	case t.Server != "":
 		x.exclude.Servers = append(x.exclude.Servers, t.Server)
-		return
+	case t.Domain != "":
+		x.exclude.Domains = append(x.exclude.Domains, t.Domain)
+	default:
+		x.exclude.Hosts = append(x.exclude.Hosts, t.Host)
 	}
-	x.exclude.Domains = append(x.exclude.Domains, t.Domain)
 }
 
 func (t *attempt) done(res cove.AttemptResult) {
--- a/internal/route/proxy/crash.go
+++ b/internal/route/proxy/crash.go
@@ -19,7 +19,7 @@
 	}
 	var h xxhash.Digest
 	h.Reset()
-	for _, s := range []string{x.method, x.host, x.uri, string(x.principal.Team), strconv.FormatInt(x.body.length, 10)} {
+	for _, s := range []string{x.method, x.host, x.uri, string(x.info.Team), strconv.FormatInt(x.body.length, 10)} {
 		// Writes to a hash do not fail.
 		_, _ = h.WriteString(s)
 		_, _ = h.WriteString("\x00")
@@ -42,7 +42,7 @@
 		switch {
 		case err == nil:
 			c.close()
-		case ctx.Err() == nil:
+		case ctx.Err() == nil && (p.ReachesServers == nil || p.ReachesServers(ctx)):
 			p.Crashes.Crashed(key, target.Server)
 		}
 		return nil
--- a/internal/route/proxy/fakes_test.go
+++ b/internal/route/proxy/fakes_test.go
@@ -50,6 +50,8 @@
 	mu      sync.Mutex
 	next    int
 	targets []cove.Target
+	// refusal is the error when no target is left; nil means noRoom.
+	refusal *cove.Refusal
 	// statuses holds what responses said of their servers.
 	statuses []cove.ServerStatus
 	// before runs while a request waits for its permit.
@@ -67,15 +69,24 @@
 	for range f.targets {
 		t := f.targets[f.next%len(f.targets)]
 		f.next++
-		if slices.Contains(ex.Servers, t.Server) || slices.Contains(ex.Domains, t.Domain) || w.Forwarded && t.Host != "" {
+		if slices.Contains(ex.Servers, t.Server) || slices.Contains(ex.Domains, t.Domain) || slices.Contains(ex.Hosts, t.Host) || w.Forwarded && t.Host != "" {
 			continue
 		}
 		f.open.Add(1)
 		return &fakePermit{f: f, t: t}, nil
 	}
+	if f.refusal != nil {
+		return nil, f.refusal
+	}
 	return nil, cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoom, "no target left")
 }
 
+func (f *fakeAdmitter) setTargets(targets ...cove.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = targets
+}
+
 type fakePermit struct {
 	f    *fakeAdmitter
 	t    cove.Target
--- a/internal/route/proxy/hop.go
+++ b/internal/route/proxy/hop.go
@@ -281,9 +281,23 @@
 	}
 	t.done(cove.AttemptResult{Status: r.Status, Shed: true, Err: r})
 	f.retry, f.skipsBudget = retryAfterPeerRefusal(r.Reason)
+	if t.target.Domain == "" && refusedForServers(r.Reason) {
+		// The peer had the choice of all backend servers.
+		f.retry = ""
+	}
 	return f
 }
 
+// refusedForServers reports whether a peer refused a request because of the state
+// of the backend servers that it may choose from.
+func refusedForServers(r cove.Reason) bool {
+	switch r {
+	case cove.ReasonShiftCap, cove.ReasonNoRoom, cove.ReasonQueueFull, cove.ReasonNoServer, cove.ReasonLinkFull:
+		return true
+	}
+	return false
+}
+
 // retryAfterPeerRefusal returns the reason for a retry after a peer refused a
 // request without running it, or "" if no other target would accept it.
 // skipsBudget reports that the refusal put no load on a backend server.
@@ -292,7 +306,7 @@
 	case cove.ReasonShiftCap:
 		return cove.RetryShiftCap, true
 	case cove.ReasonNoRoom, cove.ReasonQueueFull, cove.ReasonNoServer, cove.ReasonLinkFull, cove.ReasonHostLimit,
-		cove.ReasonStopping, cove.ReasonPaused, cove.ReasonNoTable, cove.ReasonNoRoute:
+		cove.ReasonStopping, cove.ReasonPaused, cove.ReasonNoTable, cove.ReasonNoRoute, cove.ReasonIsolated:
 		return cove.RetryNoRoom, true
 	case cove.ReasonServerFailed:
 		return cove.RetryConnect, false
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -102,9 +102,12 @@
 	if err != nil {
 		return errMalformedHop
 	}
-	if x.attempts, err = strconv.Atoi(h.Get(hopAttempt)); err != nil {
+	attempt, err := strconv.Atoi(h.Get(hopAttempt))
+	if err != nil {
 		return errMalformedHop
 	}
+	// The attempt of the sender and that of this host are the same.
+	x.attempts = attempt - 1
 	x.setRoute(route, p.routeStats.get(route.Name))
 	p.prepareHop(x, time.Duration(ms)*time.Millisecond, block)
 	return nil
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -39,6 +39,10 @@
 	// Crashes keeps requests that crash backend servers away from them; nil disables
 	// it.
 	Crashes cove.CrashTracker
+	// ReachesServers finds out whether this host can connect to backend servers at
+	// all. Without it, a server that cannot be reached counts as crashed. It may be
+	// nil.
+	ReachesServers func(context.Context) bool
 	// Histograms receives the durations of requests, attempts and limit checks; nil
 	// disables them.
 	Histograms cove.Histograms
@@ -54,6 +58,7 @@
 	localMux     *http.ServeMux
 	pool         pool
 	retryBudgets retry.Budgets
+	waiting      waitingAttempts
 	// keyedMemory bounds the memory held by requests with an idempotency key.
 	keyedMemory quota
 	routeStats  routeStatsMap
@@ -90,6 +95,8 @@
 	p.localMux.HandleFunc(localPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoLocalHandler) })
 	if d.Peers != nil {
 		d.Peers.Handle(forwardPath, http.HandlerFunc(p.serveForward))
+	}
+	if d.Peers != nil && d.Deduplicator != nil {
 		d.Peers.Handle(ownerPath, http.HandlerFunc(p.serveOwner))
 	}
 	return p
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -59,7 +59,8 @@
 	minRTTs map[cove.Domain]*place.MinRTT
 	// statuses holds what runs of servers have said of themselves. Unlike server,
 	// it outlives their entries in the tables.
-	statuses map[serverRun]runStatus
+	statuses  map[serverRun]runStatus
+	isolation isolation
 	// regionChange bounds how fast requests change their region.
 	regionChange place.RegionChange
 	// candidates, eligible and eligibleServers are buffers, reused by each call.
@@ -142,6 +143,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	name := b.choosePool(pools, &req)
+	if b.isolation.active {
+		return b.passOn(name, &req, ex)
+	}
 	var tok tokens
 	for {
 		c, err := b.selectServer(name, &req, ex, &tok)
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -31,6 +31,8 @@
 	srv.load.Begin()
 	srv.health.Begin()
 	srv.liveness.Begin(now)
+	b.isolation.checkSilence(p, now)
+	b.isolation.liveness.Begin(now)
 	if srv.said.draining {
 		b.counters.Add("steer.sentToDraining", 1)
 	}
@@ -90,6 +92,7 @@
 	t.done = true
 	t.server.load.End()
 	t.server.liveness.End(now, res.Status != 0)
+	b.isolation.record(res, now)
 	t.measure(res)
 	b.detectRestart(t.pool, t.server, res, now)
 	switch {
--- a/refuse.go
+++ b/refuse.go
@@ -51,6 +51,7 @@
 	ReasonPeer             Reason = "peerFailed"
 	ReasonPaused           Reason = "paused"
 	ReasonCrashesServers   Reason = "crashesServers"
+	ReasonIsolated         Reason = "isolated"
 )
 
 // RetryReason is the stable identifier of the reason for another attempt. Each
--- a/request.go
+++ b/request.go
@@ -74,7 +74,9 @@
 	Server ServerID
 	Addr   netip.AddrPort
 	Pool   PoolName
-	// Host is set when the request is to be forwarded to that entry host.
+	// Host is set when the request is to be forwarded to that entry host, which
+	// sends it to a backend server of Domain, or of any failure domain if that is
+	// empty.
 	Host   HostID
 	Domain Domain
 	Moved  bool
@@ -162,6 +164,8 @@
 type Exclude struct {
 	Servers []ServerID
 	Domains []Domain
+	// Hosts lists entry hosts to which the request was passed on.
+	Hosts []HostID
 }
 
 // Admitter chooses a target and waits for a slot there.
