Leave the servers of a region to the teams with their home there

Cause: the region marches has a tenth of the servers, and teams with their home there have about a tenth of the load. Placement gave it a tenth of the objects of all other teams in addition. Requests waited 1.3 s on average for a slot there, 0.03 s in east-mids, some until their timeout. The requests that still waited when new ones ended ran there alone.

In the placements of new requests nothing changes.

Change: the weight of a region's servers in the ranking of objects is what is left by the teams that may run only there, as their rates in the tables tell. All hosts derive the same weights without messages.

--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -49,6 +49,8 @@
 	// regionKey is mixed into the keys of objects that each region assigns on
 	// its own.
 	regionKey uint64
+	// bound is the demand of teams with homes.
+	bound boundDemand
 
 	mu      sync.Mutex
 	pools   map[cove.PoolName]*pool
@@ -397,12 +399,14 @@
 	case object == 0:
 		load := srv.load.Estimate(now) / float64(max(srv.row.Slots, 1))
 		return -load - srv.domain.rtt.Seconds()
-	case localWeight == 1 && !p.limited:
+	case localWeight == 1 && !p.limited && !p.weighted:
 		return float64(place.Rank(object, srv.key))
-	case srv.domain.region == b.self.Region:
-		return place.Score(object, srv.key, localWeight*srv.capacity())
 	}
-	return place.Score(object, srv.key, srv.capacity())
+	weight := srv.capacity() * p.unbound[srv.domain.region]
+	if srv.domain.region == b.self.Region {
+		weight *= localWeight
+	}
+	return place.Score(object, srv.key, weight)
 }
 
 func excluded(ex cove.Exclude, id cove.ServerID) bool {
--- a/internal/route/steer/region_test.go
+++ b/internal/route/steer/region_test.go
@@ -25,6 +25,11 @@
 	warm, cold time.Duration
 	// limit returns the rate limit that a server names at a time; it may be nil.
 	limit func(id cove.ServerID, at time.Duration) cove.RateLimit
+	// table changes the table before the load; it may be nil.
+	table func(t *cove.Table)
+	// homes returns the home regions of a request's team, given a random number in
+	// [0, 1); it may be nil.
+	homes func(u float64) []cove.Region
 	// refused is set by run.
 	refused int
 }
@@ -39,6 +44,8 @@
 type placement struct {
 	at     time.Duration
 	region cove.Region
+	// started is when it got a slot.
+	started time.Duration
 }
 
 // trialServer is a backend server of a trial.
@@ -55,6 +62,9 @@
 // run returns where the requests ran, in the order of their start.
 func (c *regionTrial) run(seed uint64) []placement {
 	f := newFleet(c.hosts, c.servers)
+	if c.table != nil {
+		f.change(c.table)
+	}
 	f.clock.Advance(startupTime)
 	rnd := rand.New(rand.NewPCG(seed, 2))
 	servers := make(map[cove.ServerID]*trialServer)
@@ -99,6 +109,9 @@
 		object := uint64(1 + rnd.IntN(c.objects))
 		t := f.clock.Now()
 		req := cove.RequestInfo{ID: fmt.Sprint(now), Route: "r", AffinityKey: object, Started: t, Deadline: t.Add(4 * c.goal), Goal: c.goal}
+		if c.homes != nil {
+			req.TeamHomes = c.homes(rnd.Float64())
+		}
 		p, err := f.hosts[rnd.IntN(c.hosts)].Admit(context.Background(), []cove.PoolWeight{{Pool: testPool, Weight: 1}}, req, cove.Exclude{})
 		f.exchangeUpdates()
 		if err != nil {
@@ -107,15 +120,16 @@
 		}
 		id := p.Target().Server
 		srv := servers[id]
-		out = append(out, placement{now, srv.region})
-		took := srv.serve(now, object, c)
+		took, wait := srv.serve(now, object, c)
+		out = append(out, placement{at: now, region: srv.region, started: now + wait})
 		srv.outstanding++
 		heap.Push(&pending, response{at: now + took, server: id, permit: p, took: took})
 	}
 }
 
-// serve returns how long a request takes, the wait for a slot included.
-func (s *trialServer) serve(now time.Duration, object uint64, c *regionTrial) time.Duration {
+// serve returns how long a request takes, the wait for a slot included, and how long
+// it waits.
+func (s *trialServer) serve(now time.Duration, object uint64, c *regionTrial) (took, wait time.Duration) {
 	slot := 0
 	for i, at := range s.free {
 		if at < s.free[slot] {
@@ -133,12 +147,13 @@
 	if s.seen = append(s.seen, object); len(s.seen) > warmObjects {
 		s.seen = s.seen[1:]
 	}
-	s.free[slot] = max(s.free[slot], now) + work
+	started := max(s.free[slot], now)
+	s.free[slot] = started + work
 	rtt := sameDomainRTT
 	if s.region != "east" {
 		rtt = trialRTT
 	}
-	return s.free[slot] - now + rtt
+	return s.free[slot] - now + rtt, started - now
 }
 
 // largestShift returns the largest part of the requests that changed their region
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -33,6 +33,10 @@
 	// server names a rate limit.
 	slots   float64
 	limited bool
+	// unbound is the part of each region's servers that is left for objects without
+	// homes; weighted is set if it is less than 1 in some.
+	unbound  map[cove.Region]float64
+	weighted bool
 	// lostAt is when a region last lost a server of the pool, as far as this host
 	// knows.
 	lostAt map[cove.Region]time.Time
@@ -172,6 +176,7 @@
 			delete(b.domains, name)
 		}
 	}
+	b.countBoundDemand(t.Teams)
 	pools := make(map[cove.PoolName]*pool, len(t.Pools))
 	for _, row := range t.Pools {
 		p := b.pools[row.Name]
@@ -250,6 +255,7 @@
 	}
 	b.dropLimits(old, p.servers)
 	p.countSlots()
+	b.countRegions(p)
 }
 
 func later(a, b time.Time) time.Time {
