Keep requests with homes from deciding where objects of other teams go

Objects that a team with its home in a region was the first to ask for were kept in that region for all teams, and each time such a request found its server full, the object moved there.

Cause: the assignment table has one entry for an object, also where a request may not run on the server of the others.

Change: such requests have an assignment of their own, within their regions; where the server of the others is in one of them, they share it. Its work counts by the rates of the teams with these homes.

--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -46,7 +46,7 @@
 // at the front. It assigns one to an object that has none, or whose server has
 // more objects than its rate limit allows and no token left.
 func (b *Balancer) applyAssignment(c *selection, req *cove.RequestInfo, order []*server, now time.Time) []*server {
-	p, object, work := c.pool, b.objectKey(req, c.localWeight), place.WorkOf(req.Goal)
+	p, object, work := c.pool, c.object, c.work
 	if srv := c.assigned; srv != nil {
 		paused := srv.paused(now)
 		missed := srv.limit.Limited && !slices.Contains(order, srv)
@@ -96,16 +96,6 @@
 		!p.assignments.HasRoom(place.Server{Key: srv.key, Slots: srv.assignableSlots()}, p.assignments.MeanPerSlot(p.slots, 0))
 }
 
-// objectKey returns the key of the request's object in the assignment table.
-// Where the round trip to other regions matters, the key includes the region,
-// so that each region assigns the object to a server of its own.
-func (b *Balancer) objectKey(req *cove.RequestInfo, localWeight float64) uint64 {
-	if localWeight == 1 {
-		return req.AffinityKey
-	}
-	return req.AffinityKey ^ b.regionKey
-}
-
 // moveToFront moves srv to the front of order. It does nothing if srv is not in
 // order because it may not take the request.
 func moveToFront(order []*server, srv *server) {
@@ -118,7 +108,7 @@
 // reassign assigns an object that was spilled from its loaded server to the
 // server that took it, so that it is cold there only once.
 func (b *Balancer) reassign(c *selection, req *cove.RequestInfo, now time.Time) {
-	p, object, to := c.pool, b.objectKey(req, c.localWeight), c.server
+	p, object, to := c.pool, c.object, c.server
 	current, ok := p.assignments.Find(object, now)
 	if !ok || current.Server == to.key || !current.MayMove(now) {
 		return
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -49,6 +49,8 @@
 	// regionKey is mixed into the keys of objects that each region assigns on
 	// its own.
 	regionKey uint64
+	// regionKeys holds the key of each region.
+	regionKeys map[cove.Region]uint64
 	// bound is the demand of teams with homes.
 	bound boundDemand
 
@@ -112,7 +114,7 @@
 		statuses: make(map[serverRun]runStatus),
 
 		regionChange: place.RegionChange{Own: self.Region},
-		regionKey:    xxhash.Sum64String(string(self.Region)),
+		regionKey:    regionKeyOf(self.Region),
 		started:      clock.Now(),
 	}
 	tables.Watch(b.apply)
@@ -169,6 +171,10 @@
 	server *server
 	// sticky is set for the first attempt of a request for an object.
 	sticky bool
+	// object is the key of the request's object in the assignment table, work the
+	// work that it causes there.
+	object uint64
+	work   place.Work
 	// assigned is the server that the object of the request is assigned to, or nil.
 	assigned *server
 	// pause is the shortest remaining pause of the servers that asked for one; 0 if
@@ -197,7 +203,8 @@
 	c.times.Goal = req.Goal
 	c.sticky = req.AffinityKey != 0 && len(ex.Servers) == 0
 	if c.sticky {
-		if a, ok := p.assignments.Find(b.objectKey(req, c.localWeight), now); ok {
+		c.object, c.work = b.objectKey(p, req, c.localWeight, now)
+		if a, ok := p.assignments.Find(c.object, now); ok {
 			c.assigned = p.byKey[a.Server]
 		}
 	}
--- a/internal/route/steer/homes_test.go
+++ b/internal/route/steer/homes_test.go
@@ -64,3 +64,35 @@
 		}
 	}
 }
+
+// Guards against objects that are kept in a region for all teams because a team with
+// its home there was the first to ask for them.
+func TestHomeTeamMovesObjectsOfOthers(t *testing.T) {
+	f := newFleet(1, 8)
+	admit := func(object uint64, homes []cove.Region) cove.Region {
+		t.Helper()
+		now := f.clock.Now()
+		req := cove.RequestInfo{
+			ID: "x", Route: "r", AffinityKey: object, Started: now, Deadline: now.Add(time.Second), Goal: 500 * time.Millisecond, TeamHomes: homes,
+		}
+		p, err := f.hosts[0].Admit(t.Context(), []cove.PoolWeight{{Pool: testPool, Weight: 1}}, req, cove.Exclude{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Done(okResult)
+		return cove.Region(p.Target().Domain[:4])
+	}
+	const objects = 200
+	west := 0
+	for object := uint64(1); object <= objects; object++ {
+		if r := admit(object, []cove.Region{"west"}); r != "west" {
+			t.Fatalf("object %d runs in %s outside its home", object, r)
+		}
+		if admit(object, nil) == "west" {
+			west++
+		}
+	}
+	if west > objects/2 {
+		t.Errorf("%d of %d objects of other teams are kept in the region, which has half of the servers", west, objects)
+	}
+}
--- a/internal/route/steer/server.go
+++ b/internal/route/steer/server.go
@@ -176,6 +176,10 @@
 			delete(b.domains, name)
 		}
 	}
+	b.regionKeys = make(map[cove.Region]uint64)
+	for _, d := range b.domains {
+		b.regionKeys[d.region] = regionKeyOf(d.region)
+	}
 	b.countBoundDemand(t.Teams)
 	pools := make(map[cove.PoolName]*pool, len(t.Pools))
 	for _, row := range t.Pools {
