Ignore canceled rounds of probes; take questions while a host starts

A round that ended because a request was canceled counted as one that reached no server, for 150 ms. A question from an isolated host that arrived while the host was starting ended the process.

Change: canceled rounds are not kept; the group of background tasks exists from the begin. TestCanceledProbesShowNothing and TestQuestionWhileStarting failed before, the second with the panic.

--- a/internal/ops/direct/direct.go
+++ b/internal/ops/direct/direct.go
@@ -89,7 +89,7 @@
 
 // New assembles a host without starting it.
 func New(o Options) *Host {
-	h := &Host{Clock: clock.System{}, Counters: new(meter.Meter), Tables: new(active.Tables)}
+	h := &Host{Clock: clock.System{}, Counters: new(meter.Meter), Tables: new(active.Tables), tasks: group.New(context.Background())}
 	h.started = h.Clock.Now()
 	h.Events = &event.Log{Host: o.Self.ID, Clock: h.Clock, Logger: o.Logger}
 	h.Beacon = &beacon.Service{Self: o.Self, Clock: h.Clock, Counters: h.Counters, Events: h.Events}
@@ -172,7 +172,6 @@
 	if err := h.runner.Start(ctx); err != nil {
 		return err
 	}
-	h.tasks = group.New(context.Background())
 	h.tasks.Go(h.logCounters)
 	h.tasks.Go(h.spreadUpdates)
 	h.tasks.Go(h.requestQuotas)
--- a/internal/ops/direct/isolation.go
+++ b/internal/ops/direct/isolation.go
@@ -52,6 +52,9 @@
 	_ = probes.Wait()
 	probes.Cancel()
 	p.h.Counters.Add("isolation.probes", int64(len(targets)))
+	if ctx.Err() != nil {
+		return len(targets), int(connected.Load())
+	}
 	p.ended, p.tried, p.reached = p.h.Clock.Now(), len(targets), int(connected.Load())
 	return p.tried, p.reached
 }
@@ -92,7 +95,8 @@
 	confirmed atomic.Int64
 	// active is set while requests are passed on.
 	active bool
-	rounds int
+	// asked counts the questions to other hosts.
+	asked int
 }
 
 // watchIsolation finds out whether this host has lost its paths to all backend
@@ -134,9 +138,9 @@
 func (h *Host) askOthers(groups [][]beacon.Host) {
 	hosts := slices.Concat(groups...)
 	for i := range min(maxAsked, len(hosts)) {
-		h.Beacon.Send(hosts[(h.isolation.rounds+i)%len(hosts)].ID, reachTopic, reachMessage{})
+		h.Beacon.Send(hosts[(h.isolation.asked+i)%len(hosts)].ID, reachTopic, reachMessage{})
 	}
-	h.isolation.rounds += maxAsked
+	h.isolation.asked += maxAsked
 }
 
 // handleReach answers whether this host reaches backend servers.
--- a/internal/ops/direct/isolation_test.go
+++ b/internal/ops/direct/isolation_test.go
@@ -191,3 +191,26 @@
 		t.Errorf("%d requests were passed on", n)
 	}
 }
+
+// Guards against a round of probes that was canceled and counts as one that reached
+// no server.
+func TestCanceledProbesShowNothing(t *testing.T) {
+	p := newCutPair(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p.hosts[0].prober.probe(ctx)
+	if tried, reached := p.hosts[0].prober.probe(t.Context()); tried != 3 || reached != 3 {
+		t.Errorf("%d of %d servers are reached", reached, tried)
+	}
+}
+
+// Guards against a message that arrives before all parts of the host have started.
+func TestQuestionWhileStarting(t *testing.T) {
+	self := beacon.Host{ID: "east-a", Region: "east", Domain: "east-a"}
+	h := New(Options{Self: self, Logger: logr.Discard()})
+	h.handleReach("west-a", reachMessage{})
+	h.tasks.Cancel()
+	if err := h.tasks.Wait(); err != nil {
+		t.Error(err)
+	}
+}
