review: a restored store lists a server that has left, and hosts use it

Seen: a server leaves without a report, its entry is removed and the hosts stop using it. The store comes back from a copy in which the entry stands. All hosts send to the server again until the entry is removed once more, 7.5 s after the first removal.

Cause: updateServer takes the entry of a run that has left for stale only if the run had reported draining or if its seq is lower than the last one. Here it is the same.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,8 +17,9 @@
 
 // plays holds the cases by name.
 var plays = map[string]play{
-	"memory": playMemory,
-	"prefix": playPrefix,
+	"memory":   playMemory,
+	"prefix":   playPrefix,
+	"restored": playRestored,
 }
 
 const (
