review: a host keeps servers that have left when its reads come back one by one

Seen: the store turns a host away for 9 s. A server whose entry is removed shortly before the end gets requests from that host more than 5 s later, when the host is in touch again.

Cause: one flag and one time tell for three tables whether the store can be read. A call that hung on one table sets them again after the other tables have been read, and the two seconds of grace begin anew.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 // plays holds the cases by name.
 var plays = map[string]play{
 	"memory":   playMemory,
+	"lapse":    playLapse,
 	"prefix":   playPrefix,
 	"restored": playRestored,
 }
