--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,10 +17,9 @@
 
 // plays holds the cases by name.
 var plays = map[string]play{
-	"memory":   playMemory,
-	"lapse":    playLapse,
-	"prefix":   playPrefix,
-	"restored": playRestored,
+	"memory":  playMemory,
+	"lapse":   playLapse,
+	"prefix":  playPrefix,
 }
 
 const (
