--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 	"memory":  playMemory,
 	"lapse":   playLapse,
 	"chunked": playChunked,
+	"restart": playRestart,
 	"prefix":  playPrefix,
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -30,6 +30,8 @@
 	slots   int
 	work    time.Duration
 	last    int
+	// coldUntil is when the worker becomes warm.
+	coldUntil time.Time
 	// silent is set once the worker writes no entry any more.
 	silent bool
 	// odd answers some requests otherwise than a sound worker.
@@ -96,7 +98,7 @@
 	s.seq++
 	s.w.store.put("servers", s.id, map[string]any{
 		"service": s.service, "addr": s.addr(), "zone": s.zone, "version": "v1", "slots": s.slots,
-		"state": "ready", "coldLeft": "0ms", "seq": s.seq, "born": s.born.UnixMilli(),
+		"state": "ready", "coldLeft": strconv.FormatInt(max(0, time.Until(s.coldUntil).Milliseconds()), 10) + "ms", "seq": s.seq, "born": s.born.UnixMilli(),
 	})
 	return true
 }
