Bound each response header, not the first of an exchange

Callers of an entry host lost their connections without an answer, as one faulty backend server ended the host: it repeated an earlier answer, which hosts skip, and sent a header without end after it.

Cause: headRemaining is set when an exchange begins and lifted after its first final header. A second header of the same exchange had no bound.

Change: readHead sets the bound for each final header. The attempt fails at once with 502, or is made elsewhere if the request may run twice.

Ruled out: the skipped response itself (one that announces a long body is refused unread, one of unknown length is never skipped), chunk sizes, extensions and trailers, which net/http bounds (TestEndlessAnswers).

--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -147,8 +147,9 @@
 }
 
 // readHead reads the header of the final response. It calls onContinue when a
-// 100 Continue arrives.
+// 100 Continue arrives. The interim responses count as part of the header.
 func (c *conn) readHead(method string, onContinue func()) (*http.Response, error) {
+	c.headRemaining = maxAnswerHeaderBytes
 	req := &http.Request{Method: method}
 	for {
 		resp, err := http.ReadResponse(c.br, req)
