Refuse a passed-on request that the route of its name does not match

A host that gets a request from another one finds the route by name in its own table.

Evidence: TestHopRunsUnderRouteOfOtherPath, on the code before: /opening, /hurry/x and /open%2Fx run under the route of /open, by both ways of passing on.

Change: the host refuses such a request as not run, so that the sender tries another target. A route that matches, though a longer prefix would come first, is used as before: that is what the sender's table says.

Measured: the test passes; the requests that match run once each, as before.

--- a/internal/route/match/match.go
+++ b/internal/route/match/match.go
@@ -123,6 +123,16 @@
 	return path
 }
 
+// Matches reports whether a route matches the host and the path of a request,
+// though another one may have precedence.
+func Matches(r *cove.Route, host, path string) bool {
+	if r.Host != "" && !strings.EqualFold(r.Host, stripPort(host)) {
+		return false
+	}
+	rest, begins := strings.CutPrefix(path, r.PathPrefix)
+	return begins && (rest == "" || rest[0] == '/' || strings.HasSuffix(r.PathPrefix, "/"))
+}
+
 // Find returns the route of a request. A route that names the host takes
 // precedence over one for any host, then the longest path prefix decides.
 // A prefix matches whole segments: "/orders" matches "/orders" and "/orders/7" but
--- a/internal/route/match/match_test.go
+++ b/internal/route/match/match_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// Guards against a check of a passed-on request that differs from the choice of its
+// route.
+func TestMatches(t *testing.T) {
+	for _, c := range []struct {
+		route, host, path string
+		want              bool
+	}{
+		{"root", "x", "/anything", true},
+		{"orders-post", "x", "/orders", true},
+		{"orders-post", "x", "/orders/7", true},
+		{"orders-post", "x", "/ordersheet", false},
+		{"invoices", "x", "/invoices", false},
+		{"invoices", "x", "/invoices/", true},
+		{"ledger", "x", "/ledger/7", false},
+		{"ledger", "DIARY.example:80", "/ledger/7", true},
+	} {
+		for i := range routes {
+			if r := &routes[i]; string(r.Name) == c.route && Matches(r, c.host, c.path) != c.want {
+				t.Errorf("Matches(%s, %s, %s) = %v", c.route, c.host, c.path, !c.want)
+			}
+		}
+	}
+}
+
 // Guards against allocations on the request path.
 func TestFindDoesNotAllocate(t *testing.T) {
 	if n := testing.AllocsPerRun(100, func() { table.Find("DIARY.example:80", "/orders/7/lines/3", "GET") }); n > 0 {
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -367,3 +367,38 @@
 		}
 	}
 }
+
+// Guards against a request that a host with another table has passed on and that
+// runs under a route of the same name for other paths, in the pools of that route.
+func TestHopRunsUnderRouteOfOtherPath(t *testing.T) {
+	t.Parallel()
+	fleet := newFakeFleet()
+	servers, targets := newServers(t, 1, server.Config{})
+	newHost(t, "b", fleet, Config{}, targets...)
+	for _, path := range []string{forwardPath, ownerPath} {
+		for _, c := range []struct {
+			target string
+			runs   int
+		}{{"/open/x", 1}, {"/open", 1}, {"/opening", 0}, {"/hurry/x", 0}, {"/open%2Fx", 0}} {
+			before := len(servers[0].Runs())
+			req, err := http.NewRequest(http.MethodPost, fleet.url["b"]+path, http.NoBody)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for name, value := range map[string]string{
+				hopVersion: protocolVersion, hopMethod: http.MethodPost, hopTarget: c.target, hopHost: "x", hopRoute: "open", hopPool: "main",
+				hopDeadline: "2000", hopAttempt: "1", hopBlock: "0", hopID: "id-" + strconv.Itoa(len(c.target)), "Idempotency-Key": path + c.target,
+			} {
+				req.Header.Set(name, value)
+			}
+			resp, err := fleet.client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if n := len(servers[0].Runs()) - before; n != c.runs {
+				t.Errorf("%s, %s: ran %d times, want %d (status %s, reason %q)", path, c.target, n, c.runs, resp.Status, resp.Header.Get(hopReason))
+			}
+		}
+	}
+}
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/route/match"
 )
 
 // Refusals of requests from other hosts.
@@ -17,6 +18,7 @@
 	errNotPeer        = cove.Refuse(http.StatusForbidden, cove.ReasonBadRequest, "not an entry host")
 	errMalformedHop   = cove.Refuse(http.StatusBadRequest, cove.ReasonPeer, "malformed request of a peer")
 	errUnknownPool    = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoute, "pool is not in this host's table")
+	errOtherRoute     = cove.Refuse(http.StatusServiceUnavailable, cove.ReasonNoRoute, "route of this host does not match the request")
 	errDeadlinePassed = cove.Refuse(http.StatusGatewayTimeout, cove.ReasonDeadline, "deadline passed on the way")
 )
 
@@ -91,7 +93,7 @@
 	x.method, x.uri, x.host = h.Get(hopMethod), h.Get(hopTarget), h.Get(hopHost)
 	x.id = h.Get(hopID)
 	x.callerID = x.id
-	if ref := checkHopRequest(x); ref != nil {
+	if ref := checkHopRequest(x, route); ref != nil {
 		return ref
 	}
 	ms, err := strconv.ParseInt(h.Get(hopDeadline), 10, 32)
@@ -113,7 +115,9 @@
 	return p.refuseUnfinished(x)
 }
 
-func checkHopRequest(x *exchange) *cove.Refusal {
+// checkHopRequest checks the request, and that it matches the route: the table of
+// the sender may have another one with this name.
+func checkHopRequest(x *exchange, route *cove.Route) *cove.Refusal {
 	if !httpguts.ValidHeaderFieldName(x.method) || !validHost(x.host) || !validToken(x.id, 2*maxRequestID) {
 		return errMalformedHop
 	}
@@ -121,7 +125,13 @@
 	if err != nil {
 		return errMalformedHop
 	}
-	return checkTarget(x.uri, u)
+	if ref := checkTarget(x.uri, u); ref != nil {
+		return ref
+	}
+	if !match.Matches(route, x.host, match.Path(u)) {
+		return errOtherRoute
+	}
+	return nil
 }
 
 func (p *Proxy) prepareHop(x *exchange, left time.Duration, block uint64) {
