Notice a frozen reader of another failure domain within two seconds

In a fleet of clustered regions the first host of a failure domain reads tables from the first host of the region. If that one froze (its connections stay open), the failure domain missed changes until reports on it were seconds old, 6.3 s by the table in docs/decisions/large-fleets.md, more than the bounds of configuration (4 s) and evacuation (5 s) of the site of 295 hosts.

Evidence: TestFrozenReaderOfOtherDomain, on the code before: the read still waits after 16 s, when the test ends it.

Change: such a read asks its reader to answer within 1 s and gives up after 1.7 s. Hosts of an earlier release ignore that and hold the request; hosts that read from them give up and read the store until they are replaced, one host of each failure domain. Other reads have a bound too, 10 s, beside the heartbeats.

A page tells how long ago its rows were read from the store, and by how many hosts they were passed on, so that lag can be measured (TestLagAddsUp).

Measured: the read ends within 2 s (was: 16 s and more). One more call a second for each table and failure domain, between hosts.

Ruled out: readers of the own failure domain, whose heartbeats end a read after 1.6 s and 0.5 s at most.

--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -35,6 +35,15 @@
 	// maxPageBytes bounds a page, far above the largest known table (0.5 MB).
 	maxPageBytes = 16 << 20
 
+	// remoteHold is how long a reader in another failure domain of a tree holds a
+	// request without a change, remoteTimeout bounds the request. Reports on hosts of
+	// other failure domains are seconds old, so that a reader that has become silent is
+	// noticed by the missing response.
+	remoteHold    = time.Second
+	remoteTimeout = remoteHold + 700*time.Millisecond
+	// localTimeout bounds the other requests, whose readers are watched by heartbeats.
+	localTimeout = maxHold + 2*time.Second
+
 	pagePath = "/table"
 )
 
@@ -82,7 +91,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	p, err := s.waitPage(r.Context(), q.Get("name"), after, q.Get("whole") == "true")
+	p, err := s.waitPage(r.Context(), q.Get("name"), after, q.Get("whole") == "true", parseHold(q))
 	if err != nil {
 		s.Counters.Add("relay.notFresh", 1)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -95,6 +104,12 @@
 		return
 	}
 	s.Counters.Add("relay.served", 1)
+	s.mu.Lock()
+	t := s.table(q.Get("name"))
+	age, steps := s.Clock.Now().Sub(t.changedAt), t.steps+1
+	s.mu.Unlock()
+	w.Header().Set(ageHeader, strconv.FormatInt(age.Milliseconds(), 10))
+	w.Header().Set(stepsHeader, strconv.Itoa(steps))
 	if _, err := w.Write(data); err != nil {
 		s.Counters.Add("relay.peerGone", 1)
 	}
@@ -104,8 +119,35 @@
 const (
 	eraParam     = "era"
 	versionParam = "after"
+	holdParam    = "holdMs"
+)
+
+// Headers of a response with a page. Hosts of an earlier release do not send them.
+const (
+	ageHeader   = "Table-Age-Ms"
+	stepsHeader = "Table-Steps"
 )
 
+// parseAge sets the age of a page and the number of its steps, for measurements.
+func (p *Page) parseAge(h http.Header) {
+	if ms, err := strconv.ParseUint(h.Get(ageHeader), 10, 32); err == nil {
+		p.Age = time.Duration(ms) * time.Millisecond
+	}
+	if steps, err := strconv.ParseUint(h.Get(stepsHeader), 10, 16); err == nil {
+		p.Steps = int(steps)
+	}
+}
+
+// parseHold returns how long a request may be held without a change.
+func parseHold(q url.Values) time.Duration {
+	ms, err := strconv.ParseUint(q.Get(holdParam), 10, 32)
+	if err != nil {
+		// Most hosts do not ask for a shorter time.
+		return maxHold
+	}
+	return min(time.Duration(ms)*time.Millisecond, maxHold)
+}
+
 // parsePosition returns the position after which rows are requested. Hosts of an
 // earlier release do not send the era.
 func parsePosition(q url.Values) (Position, error) {
@@ -133,7 +175,12 @@
 }
 
 func (s *Service) read(ctx context.Context, from beacon.Host, name string, after Position, whole bool) (Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	remote := s.Hosts.Clustered() && from.Domain != s.Self.Domain
+	timeout := localTimeout
+	if remote {
+		timeout = remoteTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	// A reader that has become silent would keep the request open until maxHold.
 	interval := livenessCheckInterval
@@ -156,6 +203,9 @@
 		"name": {name}, "whole": {strconv.FormatBool(whole)},
 		eraParam: {strconv.FormatUint(after.Era, 10)}, versionParam: {strconv.FormatUint(after.Version, 10)},
 	}
+	if remote {
+		q.Set(holdParam, strconv.FormatInt(remoteHold.Milliseconds(), 10))
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Peer.String()+pagePath+"?"+q.Encode(), nil)
 	if err != nil {
 		return Page{}, errors.Wrap(err, "read table of another host")
@@ -182,6 +232,7 @@
 	if err := json.Unmarshal(data, &p); err != nil {
 		return Page{}, errors.Wrap(err, "decode table of another host")
 	}
+	p.parseAge(resp.Header)
 	s.Counters.Add("relay.read", 1)
 	return p, nil
 }
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -81,6 +81,10 @@
 	Whole bool  `json:"whole"`
 	// Position is the point up to which the rows are complete.
 	Position
+	// Age is how long ago the latest rows were read from the store, Steps the number
+	// of hosts that have passed them on.
+	Age   time.Duration `json:"-"`
+	Steps int           `json:"-"`
 }
 
 // Hosts gives the registered hosts and whether they are live.
@@ -125,6 +129,10 @@
 	// removalsDroppedTo is the version up to which removed rows are no longer
 	// kept.
 	removalsDroppedTo uint64
+	// changedAt is when the latest rows were read from the store, steps the number of
+	// hosts that have passed them on.
+	changedAt time.Time
+	steps     int
 	// freshUntil is when the rows stop being fresh.
 	freshUntil time.Time
 	// storeFailed is set while the last read of the store by this host failed.
@@ -160,6 +168,9 @@
 		return
 	}
 	t.freshUntil, t.storeFailed = freshUntil, false
+	if p.Whole || len(p.Rows) > 0 {
+		t.changedAt, t.steps = s.Clock.Now().Add(-p.Age), p.Steps
+	}
 	if p.Whole {
 		t.rows, t.removed, t.removalsDroppedTo, t.loaded = make(map[string]Row, len(p.Rows)), nil, p.Version, true
 	}
@@ -248,10 +259,10 @@
 var errStale = errors.New("rows are not fresh")
 
 // waitPage returns the page after a position as soon as it holds a row, or after
-// maxHold. The rows of an era before that position are not fresh.
-func (s *Service) waitPage(ctx context.Context, name string, after Position, whole bool) (Page, error) {
+// hold. The rows of an era before that position are not fresh.
+func (s *Service) waitPage(ctx context.Context, name string, after Position, whole bool, hold time.Duration) (Page, error) {
 	now := s.Clock.Now()
-	end, staleEnd := now.Add(maxHold), now
+	end, staleEnd := now.Add(hold), now
 	if s.Hosts.Clustered() {
 		staleEnd = now.Add(staleHold)
 	}
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -290,17 +290,86 @@
 	time.AfterFunc(100*time.Millisecond, func() {
 		s.Update("t", Page{Position: Position{Version: 2}, Rows: []Row{{Key: "k", Version: 2}}}, time.Now().Add(time.Minute))
 	})
-	p, err := s.waitPage(context.Background(), "t", Position{Version: 1}, false)
+	p, err := s.waitPage(context.Background(), "t", Position{Version: 1}, false, maxHold)
 	if err != nil || len(p.Rows) != 1 || p.Version != 2 {
 		t.Errorf("page %+v, error %v; want the row of version 2", p, err)
 	}
 	s.MarkStale("t")
 	begun := time.Now()
-	if _, err := s.waitPage(context.Background(), "t", Position{Version: 2}, false); !errors.Is(err, errStale) || time.Since(begun) > staleHold/2 {
+	if _, err := s.waitPage(context.Background(), "t", Position{Version: 2}, false, maxHold); !errors.Is(err, errStale) || time.Since(begun) > staleHold/2 {
 		t.Errorf("a reader that cannot reach the store answers %v after %v, want %v at once", err, time.Since(begun), errStale)
 	}
 }
 
+// Guards against a failure domain that misses changes for as long as its reader in
+// another one is frozen: its connections stay open, and the reports on it are old.
+func TestFrozenReaderOfOtherDomain(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.9.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	frozen := beacon.Host{ID: "h0", Region: "east", Domain: "east-a", Peer: netip.MustParseAddrPort(ln.Addr().String())}
+	self := beacon.Host{ID: "h1", Region: "east", Domain: "east-b", Peer: netip.MustParseAddrPort("127.0.9.2:0")}
+	f := &fleet{hosts: []beacon.Host{frozen, self}, silent: make(map[cove.HostID]bool), clustered: true}
+	s := &Service{Self: self, Clock: clock.System{}, Hosts: f, Counters: new(meter.Meter), Events: noEvents{}}
+	if err := s.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*maxHold)
+	defer cancel()
+	// A change has to be in force within 4 s, three steps down.
+	const within = 2 * time.Second
+	begun := time.Now()
+	if _, err := s.Read(ctx, frozen, "config", Position{Version: 1}, false); err == nil || time.Since(begun) > within {
+		t.Errorf("the read ends after %v with %v, want an error within %v", time.Since(begun), err, within)
+	}
+	if r, other := s.Reader("config"); other {
+		t.Errorf("still reads from %s", r.ID)
+	}
+}
+
+// Guards against a request that is held longer than its sender waits.
+func TestHoldEndsEarly(t *testing.T) {
+	f, hosts := newFleet(t)
+	f.clustered = true
+	a, b := hosts["a"], hosts["b"]
+	b.Self.Domain = "other"
+	a.Update("config", page(true, 3, row("k", 3)), inOneMinute())
+	begun := time.Now()
+	p, err := b.Read(context.Background(), f.hosts[0], "config", Position{Version: 3}, false)
+	if err != nil || len(p.Rows) != 0 || p.Version != 3 {
+		t.Errorf("page %+v, error %v; want no rows", p, err)
+	}
+	if took := time.Since(begun); took < remoteHold/2 || took > remoteTimeout {
+		t.Errorf("held for %v, want %v", took, remoteHold)
+	}
+}
+
+// Guards against a lag that starts anew with each host that passes a table on.
+func TestLagAddsUp(t *testing.T) {
+	f, hosts := newFleet(t)
+	a, b, c := hosts["a"], hosts["b"], hosts["c"]
+	const pause = 150 * time.Millisecond
+	a.Update("config", page(true, 3, row("k", 3)), inOneMinute())
+	time.Sleep(pause)
+	p, err := b.Read(context.Background(), f.hosts[0], "config", Position{}, true)
+	if err != nil || p.Age < pause || p.Age > 3*pause || p.Steps != 1 {
+		t.Errorf("first step: age %v, steps %d, error %v", p.Age, p.Steps, err)
+	}
+	b.Update("config", p, inOneMinute())
+	time.Sleep(pause)
+	if p, err = c.Read(context.Background(), f.hosts[1], "config", Position{}, true); err != nil || p.Age < 2*pause || p.Age > 5*pause || p.Steps != 2 {
+		t.Errorf("second step: age %v, steps %d, error %v", p.Age, p.Steps, err)
+	}
+}
+
 // Guards against rows of an earlier era of the store that are served as those of
 // the current one, as its versions are given out again: from the encoded page, from
 // the table, or to a host that has read on.
