Bound the memory of the response headers of all connections

A faulty server can send a header without end on every connection that a host has to it, several servers at once.

Evidence: TestHeadersOfAllConnections, four servers and 512 connections, headers below the limit that do not end.

Change: a header may take 64 KB of memory, its text and 128 bytes a field. What all headers take beyond 4 KB each is bounded to 16 MB; a request that would exceed it fails at once with 502, or is tried elsewhere, its connection is closed, and the server counts as faulty. Shorter headers always pass.

Measured: the test passes, and 20 of 20 requests to a sound server are served while the limit is full.

Ruled out, each by a case of TestEndlessAnswers: interim responses, chunk sizes, extensions, trailers, bodies of unknown length.

--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -19,9 +18,7 @@
 )
 
 const (
-	// maxAnswerHeaderBytes bounds the header of a response.
-	maxAnswerHeaderBytes = 64 << 10
-	connBufferSize       = 4 << 10
+	connBufferSize = 4 << 10
 	// defaultDialTimeout bounds the time to open a connection, which takes about
 	// 1 ms if the backend server is up.
 	defaultDialTimeout = time.Second
@@ -35,9 +32,8 @@
 
 var (
 	// errNoAnswerYet means that no byte of the response arrived in time.
-	errNoAnswerYet          = errors.New("no response yet")
-	errAnswerHeaderTooLarge = errors.New("response header is too large")
-	errProtocolSwitch       = errors.New("unexpected protocol switch")
+	errNoAnswerYet    = errors.New("no response yet")
+	errProtocolSwitch = errors.New("unexpected protocol switch")
 )
 
 // conn is a connection to a backend server that carries one exchange at a time.
@@ -53,9 +49,8 @@
 	// maxIdle is how long the connection may stay idle. The backend server can
 	// shorten it with a Keep-Alive header.
 	maxIdle time.Duration
-	// headRemaining is how many more bytes may be read before the header of the
-	// response ends.
-	headRemaining int64
+	// head bounds the headers of responses.
+	head headLimit
 	// wrote is set when a byte of the current request may have been sent.
 	wrote atomic.Bool
 	// deadline is the deadline of the current exchange.
@@ -68,7 +63,8 @@
 	peekErr   error
 }
 
-func dial(ctx context.Context, timeout time.Duration, addr netip.AddrPort) (*conn, error) {
+// dial opens a connection. heads counts the headers of all connections.
+func dial(ctx context.Context, timeout time.Duration, addr netip.AddrPort, heads *quota) (*conn, error) {
 	if timeout == 0 {
 		timeout = defaultDialTimeout
 	}
@@ -77,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
-	c := &conn{nc: nc, addr: addr, maxIdle: maxIdleTime}
+	c := &conn{nc: nc, addr: addr, maxIdle: maxIdleTime, head: headLimit{total: heads}}
 	c.closeFunc = c.close
 	c.peekFunc = c.peek
 	c.br = bufio.NewReaderSize((*connReader)(c), connBufferSize)
@@ -90,19 +86,16 @@
 	return c, nil
 }
 
-// connReader reads from the connection and limits the size of the header.
+// connReader reads from the connection and limits the size of headers.
 type connReader conn
 
 // Read implements io.Reader.
 func (r *connReader) Read(b []byte) (int, error) {
-	if r.headRemaining <= 0 {
-		return 0, errAnswerHeaderTooLarge
-	}
-	if int64(len(b)) > r.headRemaining {
-		b = b[:r.headRemaining]
+	if err := r.head.more(); err != nil {
+		return 0, err
 	}
 	n, err := r.nc.Read(b)
-	r.headRemaining -= int64(n)
+	r.head.add(b[:n])
 	return n, err
 }
 
@@ -121,7 +114,7 @@
 // begin prepares the connection for the next exchange.
 func (c *conn) begin(deadline time.Time) error {
 	c.wrote.Store(false)
-	c.headRemaining = maxAnswerHeaderBytes
+	c.head.begin()
 	c.deadline = deadline
 	return c.nc.SetDeadline(deadline)
 }
@@ -149,7 +142,9 @@
 // readHead reads the header of the final response. It calls onContinue when a
 // 100 Continue arrives. The interim responses count as part of the header.
 func (c *conn) readHead(method string, onContinue func()) (*http.Response, error) {
-	c.headRemaining = maxAnswerHeaderBytes
+	if !c.head.active {
+		c.head.begin()
+	}
 	req := &http.Request{Method: method}
 	for {
 		resp, err := http.ReadResponse(c.br, req)
@@ -160,7 +155,7 @@
 			return nil, errProtocolSwitch
 		}
 		if resp.StatusCode >= 200 {
-			c.headRemaining = math.MaxInt64
+			c.head.end()
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusContinue {
--- a/internal/route/proxy/crash.go
+++ b/internal/route/proxy/crash.go
@@ -38,7 +38,7 @@
 	}
 	key, target := t.exchange.content(), t.target
 	check := func(ctx context.Context) error {
-		c, err := dial(ctx, p.cfg.DialTimeout, target.Addr)
+		c, err := dial(ctx, p.cfg.DialTimeout, target.Addr, &t.proxy.pool.heads)
 		switch {
 		case err == nil:
 			c.close()
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -195,6 +195,7 @@
 
 func (u *directUpstream) finish(complete bool) {
 	alive := u.stop()
+	u.conn.head.release()
 	if u.sendDone != nil && !u.bodySent() {
 		complete = false
 	}
--- a/internal/route/proxy/endless_test.go
+++ b/internal/route/proxy/endless_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
@@ -9,6 +10,8 @@
 	"net/netip"
 	"os"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,3 +165,87 @@
 	}
 	_ = resp.Body.Close()
 }
+
+// Guards against several servers that fill the memory of a host with headers that do
+// not end, each on all connections and each within the limit of one header; and
+// against sound servers that are refused meanwhile.
+func TestHeadersOfAllConnections(t *testing.T) {
+	for name, field := range map[string]string{
+		"long fields":  "X-Fill: " + strings.Repeat("a", 1000) + "\r\n",
+		"short fields": "X:a\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkHeaders(t, field) })
+	}
+}
+
+func checkHeaders(t *testing.T, field string) {
+	const (
+		servers = 4
+		// callers is the number of callers at each server.
+		callers = 128
+		// memory bounds the growth of the heap: the limit of all headers, and the
+		// buffers and short headers of all connections.
+		memory = maxAnswerHeadersTotal + servers*callers*(32<<10)
+		// headBytes is close to what one header may have.
+		headBytes = 60 << 10
+	)
+	// The header stays below the limit for its text, and goes on with the last field.
+	head := "HTTP/1.1 200 OK\r\n" + strings.Repeat(field, headBytes/len(field)) + "X-Fill: "
+	release := make(chan struct{})
+	var reached atomic.Int64
+	var targets []cove.Target
+	for i := range servers {
+		targets = append(targets, newRawServer(t, cove.ServerID("endless-"+strconv.Itoa(i)), func(nc net.Conn, _ *bufio.Reader) {
+			if _, err := nc.Read(make([]byte, endlessBlock)); err != nil {
+				return
+			}
+			// A host that has read enough closes the connection.
+			_, _ = io.WriteString(nc, head)
+			reached.Add(1)
+			<-release
+		}))
+	}
+	h := newHost(t, "a", nil, Config{}, targets...)
+	_, sound := newServers(t, 1, server.Config{})
+	client := newClient(t, servers*callers)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	statuses := make(chan int, servers*callers)
+	for range servers * callers {
+		go func() {
+			resp, err := client.Post(h.url+"/open/x", "text/plain", http.NoBody)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			_ = resp.Body.Close()
+			statuses <- resp.StatusCode
+		}()
+	}
+	waitFor(t, "the servers to send", func() bool { return reached.Load() == servers*callers })
+	time.Sleep(200 * time.Millisecond)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > memory {
+		t.Errorf("the heap grows by %d bytes, want at most %d", grown, memory)
+	}
+	if len(statuses) == 0 {
+		t.Error("no request has ended")
+	}
+	h.admit.setTargets(sound...)
+	for range 20 {
+		if resp := call(t, h, "GET", "/open/y", ""); resp.StatusCode != http.StatusOK {
+			t.Fatalf("a sound server is refused: %s", resp.Status)
+		}
+	}
+	close(release)
+	for range servers * callers {
+		if status := <-statuses; status != http.StatusBadGateway {
+			t.Errorf("status %d, want %d", status, http.StatusBadGateway)
+		}
+	}
+	if n := h.pool.heads.used.Load(); n != 0 {
+		t.Errorf("%d bytes stay reserved", n)
+	}
+}
--- a/internal/route/proxy/pool.go
+++ b/internal/route/proxy/pool.go
@@ -24,9 +24,11 @@
 	now func() time.Time
 	// dialTimeout bounds the opening of a connection; 0 means the default.
 	dialTimeout time.Duration
-	mu          sync.Mutex
-	idle        map[netip.AddrPort][]*conn
-	closed      bool
+	// heads counts the memory of response headers.
+	heads  quota
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*conn
+	closed bool
 }
 
 // get returns an idle connection that was last used within maxAge, or a new one.
@@ -42,7 +44,7 @@
 		}
 		c.close()
 	}
-	return dial(ctx, p.dialTimeout, addr)
+	return dial(ctx, p.dialTimeout, addr, &p.heads)
 }
 
 func (p *pool) takeIdle(addr netip.AddrPort, maxAge time.Duration) *conn {
