Bound what responses of other hosts and their headers may hold

Headers from other hosts, the store and health reports had the library's limit of 10 MB.

Evidence, on the code before: TestUnreadResponsesOfPeers, 64 responses that are not read take 272 MB of heap (the check: 32 MB); TestHeadersOfPeers, a header of 1 MB is accepted.

Change: a window of 128 KB for each response between hosts, 128 KB for its header, 64 KB for the headers of table pages, the store and health reports.

A response that another host passes on is limited to 128 KB a round trip, 1.8 MB/s at 70 ms.

Ruled out: bodies of requests between hosts, which the library bounds to 1 MB a connection.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -27,6 +27,9 @@
 	// connections carry a message every few seconds and hardly any pings.
 	controlIdleTimeout = 2 * time.Minute
 	maxResponseHeaders = 64 << 10
+	// streamBufferBytes bounds the part of a response that has arrived and is not yet
+	// read.
+	streamBufferBytes = 128 << 10
 	baseScheme         = "https://"
 )
 
@@ -128,7 +131,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaders,
 		IdleConnTimeout:        controlIdleTimeout,
-		HTTP2:                  &http.HTTP2Config{SendPingTimeout: controlPingIdle, PingTimeout: pingTimeout},
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: controlPingIdle, PingTimeout: pingTimeout, MaxReceiveBufferPerStream: streamBufferBytes},
 	}
 	if key.class == classData {
 		t.IdleConnTimeout = dataIdleTimeout
--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -34,6 +34,8 @@
 	headerTimeout = 2 * time.Second
 	// maxPageBytes bounds a page, far above the largest known table (0.5 MB).
 	maxPageBytes = 16 << 20
+	// maxHeaderBytes bounds the header of a response with a page.
+	maxHeaderBytes = 64 << 10
 
 	// remoteHold is how long a reader in another failure domain of a tree holds a
 	// request without a change, remoteTimeout bounds the request. Reports on hosts of
@@ -53,7 +55,7 @@
 	// The reader recognizes this host by its address.
 	d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.Self.Peer.Addr(), 0))
 	s.startedAt = s.Clock.Now()
-	transport := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
+	transport := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	s.client.Transport = transport
 	s.peers = http.Client{Transport: newPeerTransport(transport), CheckRedirect: noRedirect}
 	var lc net.ListenConfig
--- a/internal/fleet/relay/peers.go
+++ b/internal/fleet/relay/peers.go
@@ -17,6 +17,12 @@
 	pingTimeout = 500 * time.Millisecond
 	// peerIdleTimeout closes connections without requests of callers.
 	peerIdleTimeout = 15 * time.Second
+	// maxPeerHeaderBytes bounds the header of a response that another host passes on,
+	// above what it takes from a backend server itself.
+	maxPeerHeaderBytes = 128 << 10
+	// streamBufferBytes bounds the part of such a response that has arrived and is not
+	// yet read, as its caller is slow.
+	streamBufferBytes = 128 << 10
 )
 
 var _ cove.Peers = (*Service)(nil)
@@ -40,7 +46,8 @@
 	t := base.Clone()
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetUnencryptedHTTP2(true)
-	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout}
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout, MaxReceiveBufferPerStream: streamBufferBytes}
+	t.MaxResponseHeaderBytes = maxPeerHeaderBytes
 	t.IdleConnTimeout = peerIdleTimeout
 	return t
 }
--- a/internal/route/health/probe.go
+++ b/internal/route/health/probe.go
@@ -6,11 +6,18 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 )
 
 // maxReportBytes bounds the response of a health or load endpoint.
 const maxReportBytes = 4 << 10
 
+// maxHeaderBytes bounds the header of such a response.
+const maxHeaderBytes = 64 << 10
+
+// defaultClient is the client of probers that have none.
+var defaultClient = http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes, IdleConnTimeout: 90 * time.Second}}
+
 // HTTPProber polls backend servers over HTTP. The health endpoint responds with
 // a success status when the server is healthy. Both endpoints may respond with
 // a JSON object with the members load (0 to 1, above 1 when requests are
@@ -68,7 +75,7 @@
 
 func (p *HTTPProber) client() *http.Client {
 	if p.Client == nil {
-		return http.DefaultClient
+		return &defaultClient
 	}
 	return p.Client
 }
