Learn from responses passed on by another host that a server leaves

Change: a host that passes on a response of a leaving server names its run (id, address, start) in a header between hosts, and the isolated host keeps it as if it had heard it itself, whether the run is listed or not. Hosts of an earlier release neither send nor read the header. Limits and pauses stay with the host that the server has answered.

--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -30,7 +30,7 @@
 	// streamBufferBytes bounds the part of a response that has arrived and is not yet
 	// read.
 	streamBufferBytes = 128 << 10
-	baseScheme         = "https://"
+	baseScheme        = "https://"
 )
 
 // clientClass distinguishes the clients for one host.
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -293,6 +293,9 @@
 	if err != nil {
 		t.proxy.Counters.Add(counterUnreadableLimits, 1)
 	}
+	if t.target.Host != "" {
+		status.Run, _ = parseRun(resp.Header.Get(hopServer))
+	}
 	t.permit.Responded(status)
 }
 
--- a/internal/route/proxy/dialect_test.go
+++ b/internal/route/proxy/dialect_test.go
@@ -105,3 +105,41 @@
 		})
 	}
 }
+
+// Guards against a host that learns from a response passed on by another one that some
+// server leaves, but not which.
+func TestPassedOnResponseNamesLeavingServer(t *testing.T) {
+	t.Parallel()
+	header := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if name := <-header; name != "" {
+			w.Header().Set(name, "1")
+		}
+	}))
+	defer srv.Close()
+	dialect := Dialect{DrainingHeader: "Server-Leaving"}
+	target := cove.Target{Server: "s0", Addr: netip.MustParseAddrPort(srv.Listener.Addr().String()), Pool: "main", Started: time.UnixMilli(1700000000123)}
+	fleet := newFakeFleet()
+	newHost(t, "b", fleet, Config{Dialect: dialect}, target)
+	h := newHost(t, "a", fleet, Config{Dialect: dialect}, cove.Target{Host: "b", Pool: "main"})
+	for name, want := range map[string]cove.ServerStatus{
+		"":               {},
+		"Server-Leaving": {Draining: true, Run: cove.ServerRun{ID: "s0", Addr: target.Addr, Started: 1700000000123}},
+	} {
+		header <- name
+		h.admit.statuses = nil
+		resp, err := http.Get(h.url + "/open/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		h.admit.mu.Lock()
+		if !reflect.DeepEqual(h.admit.statuses, []cove.ServerStatus{want}) {
+			t.Errorf("header %q: statuses %v, want %v", name, h.admit.statuses, want)
+		}
+		h.admit.mu.Unlock()
+		if resp.Header.Get(hopServer) != "" {
+			t.Error("the caller sees the name of the server's run")
+		}
+	}
+}
--- a/internal/route/proxy/hop.go
+++ b/internal/route/proxy/hop.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +48,9 @@
 	hopRetryMs     = peerPrefix + "Retry-After-Ms"
 	hopLength      = peerPrefix + "Length"
 	hopDraining    = peerPrefix + "Draining"
+	// hopServer names the run of the backend server: its id, its address, and its
+	// start in Unix milliseconds, separated by spaces.
+	hopServer = peerPrefix + "Server"
 )
 
 // protocolVersion is the version of the hop headers.
@@ -258,6 +263,29 @@
 	return nil
 }
 
+// formatRun formats the run of a backend server for hopServer.
+func formatRun(t *cove.Target) string {
+	return string(t.Server) + " " + t.Addr.String() + " " + strconv.FormatInt(t.Started.UnixMilli(), 10)
+}
+
+// parseRun parses hopServer. It returns false if another host named no server, as one
+// of an earlier release does.
+func parseRun(text string) (cove.ServerRun, bool) {
+	fields := strings.Split(text, " ")
+	if len(fields) != 3 {
+		return cove.ServerRun{}, false
+	}
+	addr, err := netip.ParseAddrPort(fields[1])
+	if err != nil {
+		return cove.ServerRun{}, false
+	}
+	started, err := strconv.ParseInt(fields[2], 10, 64)
+	if err != nil {
+		return cove.ServerRun{}, false
+	}
+	return cove.ServerRun{ID: cove.ServerID(fields[0]), Addr: addr, Started: started}, true
+}
+
 func readHopRefusal(status int, reason cove.Reason, h http.Header) *cove.Refusal {
 	r := &cove.Refusal{Status: status, Reason: reason, Outcome: cove.Unknown, Detail: h.Get(hopDetail)}
 	if h.Get(headerOutcome) == string(cove.NotRun) {
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -166,6 +166,7 @@
 	h[hopStatus] = []string{strconv.Itoa(status)}
 	if a.attempt.proxy.cfg.Dialect.draining(a.resp.Header) {
 		h[hopDraining] = []string{"1"}
+		h[hopServer] = []string{formatRun(&a.attempt.target)}
 	}
 	if echo := a.resp.Header[headerRequestID]; echo != nil {
 		h[headerRequestID] = echo
--- a/internal/route/steer/balancer.go
+++ b/internal/route/steer/balancer.go
@@ -63,7 +63,7 @@
 	minRTTs map[cove.Domain]*place.MinRTT
 	// statuses holds what runs of servers have said of themselves. Unlike server,
 	// it outlives their entries in the tables.
-	statuses  map[serverRun]runStatus
+	statuses  map[cove.ServerRun]runStatus
 	isolation isolation
 	// regionChange bounds how fast requests change their region.
 	regionChange place.RegionChange
@@ -111,7 +111,7 @@
 		routes:  make(map[cove.RouteName]*routeStats),
 
 		minRTTs:  make(map[cove.Domain]*place.MinRTT),
-		statuses: make(map[serverRun]runStatus),
+		statuses: make(map[cove.ServerRun]runStatus),
 
 		regionChange: place.RegionChange{Own: self.Region},
 		regionKey:    regionKeyOf(self.Region),
--- a/internal/route/steer/isolation.go
+++ b/internal/route/steer/isolation.go
@@ -167,8 +167,23 @@
 // Sent implements cove.Permit.
 func (t *passPermit) Sent() {}
 
-// Responded implements cove.Permit. The other host learns what backend servers say.
-func (t *passPermit) Responded(cove.ServerStatus) {}
+// Responded implements cove.Permit. That a server leaves counts for this host as well.
+// Its limits and pauses are meant for the other one, which has sent the request.
+func (t *passPermit) Responded(status cove.ServerStatus) {
+	if !status.Draining || status.Run.ID == "" {
+		return
+	}
+	b := t.b
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, srv := b.listedRun(t.target.Pool, status.Run)
+	if srv == nil {
+		// It counts when the run is listed again.
+		srv = &server{row: cove.Server{ID: status.Run.ID, Addr: status.Run.Addr, Started: time.UnixMilli(status.Run.Started)}}
+	}
+	b.recordDraining(p, srv, now)
+}
 
 // Done implements cove.Permit.
 func (t *passPermit) Done(res cove.AttemptResult) {
--- a/internal/route/steer/permit.go
+++ b/internal/route/steer/permit.go
@@ -48,7 +48,7 @@
 	}
 	return &permit{
 		b: b, pool: p, server: srv, times: times, preferred: preferred, slotFree: slotFree, started: now,
-		target: cove.Target{Server: srv.row.ID, Addr: srv.row.Addr, Pool: p.row.Name, Domain: srv.row.Domain},
+		target: cove.Target{Server: srv.row.ID, Addr: srv.row.Addr, Pool: p.row.Name, Domain: srv.row.Domain, Started: srv.row.Started},
 	}
 }
 
--- a/internal/route/steer/status.go
+++ b/internal/route/steer/status.go
@@ -1,33 +1,24 @@
 package steer
 
 import (
-	"net/netip"
 	"strconv"
 	"time"
 
 	"turmericcove.org/cove"
 )
 
-// serverRun identifies one run of a backend server.
-type serverRun struct {
-	id   cove.ServerID
-	addr netip.AddrPort
-	// started is in Unix milliseconds.
-	started int64
-}
-
-func runOf(row *cove.Server) serverRun {
-	return serverRun{id: row.ID, addr: row.Addr, started: row.Started.UnixMilli()}
+func runOf(row *cove.Server) cove.ServerRun {
+	return cove.ServerRun{ID: row.ID, Addr: row.Addr, Started: row.Started.UnixMilli()}
 }
 
 // listedRun returns the server of a listed run and its pool, or nil. The entry or the
 // pool may have been away since a request was sent, so that both are new.
-func (b *Balancer) listedRun(name cove.PoolName, run serverRun) (*pool, *server) {
+func (b *Balancer) listedRun(name cove.PoolName, run cove.ServerRun) (*pool, *server) {
 	p := b.pools[name]
 	if p == nil {
 		return nil, nil
 	}
-	srv := p.servers[run.id]
+	srv := p.servers[run.ID]
 	if srv == nil || runOf(&srv.row) != run {
 		return nil, nil
 	}
--- a/internal/route/steer/status_test.go
+++ b/internal/route/steer/status_test.go
@@ -104,6 +104,46 @@
 	}
 }
 
+// Guards against requests to a server that has said that it leaves in a response that
+// another host passed on, from a host that reaches servers again; while the run is
+// listed, or once it is listed again. Another run is not meant.
+func TestServerGetsRequestsAfterItSaidToAnotherHost(t *testing.T) {
+	const id = cove.ServerID("s0")
+	for _, c := range []struct {
+		name  string
+		away  bool
+		other bool
+	}{{"listed", false, false}, {"away", true, false}, {"another run", false, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(1, 4)
+			row := f.table.Pools[0].Servers[0]
+			run := runOf(&row)
+			if c.other {
+				run.Started++
+			}
+			if c.away {
+				f.change(func(t *cove.Table) { t.Pools[0].Servers = t.Pools[0].Servers[1:] })
+			}
+			f.hosts[0].Isolate(substitutes())
+			p, err := f.admit(0, 1, cove.Exclude{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Responded(cove.ServerStatus{Draining: true, Run: run})
+			p.Done(okResult)
+			f.hosts[0].Rejoin()
+			if c.away {
+				f.change(func(t *cove.Table) { t.Pools[0].Servers = append(t.Pools[0].Servers, row) })
+			}
+			// After its return a server is cold for some seconds.
+			f.clock.Advance(6 * time.Second)
+			if n := f.sentTo(t, id, 200); (n > 0) != c.other {
+				t.Errorf("%d of 200 requests reached the server", n)
+			}
+		})
+	}
+}
+
 // Guards against objects that stay with a server that has said that it leaves, and
 // find no other one.
 func TestObjectsLeaveDrainingServer(t *testing.T) {
--- a/request.go
+++ b/request.go
@@ -80,10 +80,20 @@
 	Host   HostID
 	Domain Domain
 	Moved  bool
+	// Started is when the backend server started; zero if that is not known.
+	Started time.Time
 	// Basis is the data that the choice was based on, for logs.
 	Basis Basis
 }
 
+// ServerRun identifies one run of a backend server.
+type ServerRun struct {
+	ID   ServerID
+	Addr netip.AddrPort
+	// Started is in Unix milliseconds.
+	Started int64
+}
+
 // Basis is the data that the choice of a backend server was based on.
 type Basis struct {
 	Verdict string
@@ -151,6 +161,8 @@
 	// RetryAfter is set if the server has turned the request away and wants no
 	// other one from this host for that long.
 	RetryAfter time.Duration
+	// Run is the run of the server, set if another host has passed the response on.
+	Run ServerRun
 }
 
 // RateLimit is the number of requests per second that a backend server takes
