Tell requests with long or chunked bodies apart that crash servers

Of a body that is not in memory the tracker knew only the length, so all requests of a team to a path were one, and each that was served cleared the record.

Change: a body that is passed on as it arrives is hashed on the way, its first 16 KB and its length. Once such a request has crashed a server, those equal but for the body are read up to there before they are sent. Bodies in memory keep their hash, so that hosts of two releases agree on them.

Ruled out: crashes that are not noticed or not told (with a length it is held back).

--- a/internal/route/proxy/body.go
+++ b/internal/route/proxy/body.go
@@ -5,10 +5,12 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"turmericcove.org/cove"
@@ -130,8 +132,13 @@
 	checkTrailer func(http.Header) bool
 
 	// mu is held during a read of the caller's body.
-	mu       sync.Mutex
-	err      error
+	mu  sync.Mutex
+	err error
+	// ahead is what has been read ahead and not yet returned.
+	ahead []byte
+	// digest covers the first digested bytes of the body, at most maxBufferedBody.
+	digest   xxhash.Digest
+	digested int64
 	tooLarge atomic.Bool
 	// failed is set if the body ended with an error, complete if it was read to
 	// its end.
@@ -142,6 +149,7 @@
 
 func newStreamBody(w http.ResponseWriter, r *http.Request, max int64) *streamBody {
 	s := &streamBody{rc: http.NewResponseController(w), r: r, remaining: max}
+	s.digest.Reset()
 	// HTTP/2 is always full duplex and returns an error here.
 	_ = s.rc.EnableFullDuplex()
 	return s
@@ -151,10 +159,48 @@
 func (s *streamBody) Read(b []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.consumed.Store(true)
+	if len(s.ahead) > 0 {
+		n := copy(b, s.ahead)
+		s.ahead = s.ahead[n:]
+		return n, nil
+	}
+	return s.readCaller(b)
+}
+
+// readAhead reads the first maxBufferedBody bytes of the body, unless an attempt has
+// begun to read it, so that content knows them.
+func (s *streamBody) readAhead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.consumed.Load() {
+		return
+	}
+	for len(s.ahead) < maxBufferedBody && s.err == nil {
+		s.ahead = slices.Grow(s.ahead, min(bytes.MinRead, maxBufferedBody-len(s.ahead)))
+		n, _ := s.readCaller(s.ahead[len(s.ahead):min(cap(s.ahead), maxBufferedBody)])
+		s.ahead = s.ahead[:len(s.ahead)+n]
+	}
+}
+
+// content returns a hash of the first maxBufferedBody bytes of the body, and its length
+// if it has no more. It returns false while they have not been read.
+func (s *streamBody) content() (hash uint64, length int64, known bool) {
+	if !s.mu.TryLock() {
+		return 0, 0, false
+	}
+	defer s.mu.Unlock()
+	if s.complete.Load() && s.bytesRead.Load() == s.digested {
+		return s.digest.Sum64(), s.digested, true
+	}
+	return s.digest.Sum64(), -1, s.digested == maxBufferedBody
+}
+
+// readCaller reads from the caller; s.mu is held.
+func (s *streamBody) readCaller(b []byte) (int, error) {
 	if s.err != nil {
 		return 0, s.err
 	}
-	s.consumed.Store(true)
 	// One byte beyond the limit distinguishes a body at the limit from a longer one.
 	if int64(len(b)) > s.remaining+1 {
 		b = b[:s.remaining+1]
@@ -162,6 +208,11 @@
 	n, err := s.r.Body.Read(b)
 	s.remaining -= int64(n)
 	s.bytesRead.Add(int64(n))
+	if more := min(int64(n), maxBufferedBody-s.digested); more > 0 {
+		// Writes to a hash do not fail.
+		_, _ = s.digest.Write(b[:more])
+		s.digested += more
+	}
 	if s.remaining < 0 {
 		s.tooLarge.Store(true)
 		n, err = 0, errBodyLimit
--- a/internal/route/proxy/crash.go
+++ b/internal/route/proxy/crash.go
@@ -11,22 +11,48 @@
 )
 
 // content returns a hash of all that a backend server sees of the request and that
-// is the same when it comes again. Of a body that is not in memory it covers only
-// the length.
-func (x *exchange) content() uint64 {
+// is the same when it comes again. Of a body that is not in memory it covers the begin
+// and the length; it returns false while the begin has not been read.
+func (x *exchange) content() (key uint64, known bool) {
 	if x.contentKey != 0 {
-		return x.contentKey
+		return x.contentKey, true
 	}
-	var h xxhash.Digest
-	h.Reset()
-	for _, s := range []string{x.method, x.host, x.uri, string(x.info.Team), strconv.FormatInt(x.body.length, 10)} {
+	if s := x.body.stream; s != nil {
+		hash, length, known := s.content()
+		if !known {
+			return 0, false
+		}
+		if length < 0 {
+			length = x.body.length
+		}
+		x.contentKey = x.hash(strconv.FormatUint(hash, 16), strconv.FormatInt(length, 10))
+		return x.contentKey, true
+	}
+	h := x.digest(strconv.FormatInt(x.body.length, 10))
+	_, _ = h.Write(x.body.data)
+	x.contentKey = max(h.Sum64(), 1)
+	return x.contentKey, true
+}
+
+// streamKey returns a hash that is the same for all requests with a body that is not in
+// memory and with everything else alike.
+func (x *exchange) streamKey() uint64 { return x.hash("stream") }
+
+// hash returns a hash of the request without its body, and of parts.
+func (x *exchange) hash(parts ...string) uint64 {
+	h := x.digest(parts...)
+	return max(h.Sum64(), 1)
+}
+
+// digest returns a digest of the request without its body, and of parts.
+func (x *exchange) digest(parts ...string) *xxhash.Digest {
+	h := xxhash.New()
+	for _, s := range append([]string{x.method, x.host, x.uri, string(x.info.Team)}, parts...) {
 		// Writes to a hash do not fail.
 		_, _ = h.WriteString(s)
 		_, _ = h.WriteString("\x00")
 	}
-	_, _ = h.Write(x.body.data)
-	x.contentKey = max(h.Sum64(), 1)
-	return x.contentKey
+	return h
 }
 
 // checkCrash finds out whether the backend server has crashed, after a connection
@@ -36,18 +62,25 @@
 	if p.Crashes == nil || t.target.Host != "" {
 		return
 	}
-	key, target := t.exchange.content(), t.target
+	key, known := t.exchange.content()
+	streamed, streamKey := t.exchange.body.stream != nil, t.exchange.streamKey()
+	target := t.target
 	check := func(ctx context.Context) error {
 		c, err := dial(ctx, p.cfg.DialTimeout, target.Addr, &t.proxy.pool.heads)
 		switch {
 		case err == nil:
 			c.close()
 		case ctx.Err() == nil && (p.ReachesServers == nil || p.ReachesServers(ctx)):
-			p.Crashes.Crashed(key, target.Server)
+			if known {
+				p.Crashes.Crashed(key, target.Server)
+			}
+			if streamed {
+				p.Crashes.Crashed(streamKey, target.Server)
+			}
 		}
 		return nil
 	}
-	if p.Crashes.Tracking() && p.Crashes.Suspected(key) {
+	if known && p.Crashes.Tracking() && p.Crashes.Suspected(key) {
 		// The result decides on another attempt. The deadline is that of the
 		// request.
 		_ = check(t.ctx)
@@ -61,7 +94,14 @@
 	if p.Crashes == nil || !p.Crashes.Tracking() {
 		return nil
 	}
-	wait, ok := p.Crashes.Admit(x.content())
+	if x.body.stream != nil && p.Crashes.Suspected(x.streamKey()) {
+		x.body.stream.readAhead()
+	}
+	key, known := x.content()
+	if !known {
+		return nil
+	}
+	wait, ok := p.Crashes.Admit(key)
 	if ok {
 		return nil
 	}
@@ -73,7 +113,10 @@
 // recordServed records that a backend server has run the request without a crash.
 func (t *attempt) recordServed(resp *http.Response) {
 	p := t.proxy
-	if p.Crashes != nil && resp.StatusCode <= http.StatusInternalServerError && p.Crashes.Tracking() {
-		p.Crashes.Served(t.exchange.content())
+	if p.Crashes == nil || resp.StatusCode > http.StatusInternalServerError || !p.Crashes.Tracking() {
+		return
+	}
+	if key, known := t.exchange.content(); known {
+		p.Crashes.Served(key)
 	}
 }
--- a/internal/route/proxy/crash_test.go
+++ b/internal/route/proxy/crash_test.go
@@ -91,6 +91,70 @@
 	}
 }
 
+// Guards against a request with a body in chunks, or with a long one, that crashes every
+// server that it is sent to and is never held back, because others to its path are
+// served; and against those being held back in its place.
+func TestCrashingStreamIsSentAgain(t *testing.T) {
+	// A request may crash three servers and be sent three more times.
+	const servers, repeats, most = 12, 12, 6
+	for name, c := range map[string]struct {
+		chunked bool
+		size    int
+	}{"chunks": {true, 30}, "long": {false, 3 * maxBufferedBody}, "long, in chunks": {true, 3 * maxBufferedBody}} {
+		t.Run(name, func(t *testing.T) {
+			crashed := new(atomic.Int64)
+			var targets []cove.Target
+			for i := range servers {
+				var srv *httptest.Server
+				srv = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					if data, err := io.ReadAll(r.Body); err == nil && strings.HasPrefix(string(data), "deadly") {
+						crashed.Add(1)
+						_ = srv.Listener.Close()
+						panic(http.ErrAbortHandler)
+					}
+				}))
+				t.Cleanup(srv.Close)
+				targets = append(targets, cove.Target{
+					Server: cove.ServerID(fmt.Sprint("s", i)), Pool: "main", Addr: netip.MustParseAddrPort(srv.Listener.Addr().String()),
+				})
+			}
+			h := newHost(t, "a", nil, Config{}, targets...)
+			h.Crashes = crash.New("a", clock.System{}, h.log, oneHost{})
+			send := func(text string) (int, string) {
+				t.Helper()
+				var body io.Reader = strings.NewReader(text + strings.Repeat(".", c.size-len(text)))
+				if c.chunked {
+					body = io.MultiReader(body)
+				}
+				resp, err := http.Post(h.url+"/open/x", "text/plain", body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				data, err := io.ReadAll(resp.Body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = resp.Body.Close()
+				return resp.StatusCode, string(data)
+			}
+			var status int
+			var reason string
+			for i := range repeats {
+				status, reason = send("deadly")
+				if other, body := send(fmt.Sprint("other", i)); other != http.StatusOK && !strings.Contains(body, string(cove.ReasonServerFailed)) {
+					t.Errorf("another request: %d %s", other, body)
+				}
+			}
+			if status != http.StatusServiceUnavailable || !strings.Contains(reason, string(cove.ReasonCrashesServers)) || !strings.Contains(reason, string(cove.NotRun)) {
+				t.Errorf("deadly request at the end: %d %s", status, reason)
+			}
+			if n := crashed.Load(); n > most {
+				t.Errorf("%d servers crashed, at most %d may", n, most)
+			}
+		})
+	}
+}
+
 type oneHost struct{}
 
 func (oneHost) Registered() []cove.HostID { return []cove.HostID{"a"} }
