Try other readers before those that have lost the store too

A host of a large region that the store turns away looks for a reader in the order of the register.

Change: while a host of a clustered fleet cannot read the store itself, a reader that has failed is left out for 12 s. Otherwise it is 3 s as before.

Measured: the test passes.

Ruled out: a longer time for all (a reader that restarts would be left out although the store can be read).

--- a/internal/fleet/relay/choose.go
+++ b/internal/fleet/relay/choose.go
@@ -60,7 +60,7 @@
 	return s.Clock.Now().Sub(s.startedAt) < startupPresumption && s.Hosts.Clustered()
 }
 
-// markSuspect excludes a host as reader of a table for suspectDuration.
+// markSuspect excludes a host as reader of a table for some time.
 func (s *Service) markSuspect(id cove.HostID, name string, err error) {
 	now := s.Clock.Now()
 	s.mu.Lock()
@@ -70,7 +70,11 @@
 			delete(t.suspects, host)
 		}
 	}
-	t.suspects[id] = now.Add(suspectDuration)
+	duration := suspectDuration
+	if t.storeFailed && s.Hosts.Clustered() {
+		duration = lostSuspectDuration
+	}
+	t.suspects[id] = now.Add(duration)
 	s.mu.Unlock()
 	s.Counters.Add("relay.suspect", 1)
 	s.Events.Emit("relay.suspect", err.Error(), cove.Field{Name: "peer", Value: string(id)}, cove.Field{Name: "table", Value: name})
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -29,6 +29,10 @@
 	// failed: longer than it takes to detect the failure, and short enough that a
 	// region soon has a single reader again after a disruption.
 	suspectDuration = 3 * time.Second
+	// lostSuspectDuration replaces suspectDuration in a tree while this host cannot
+	// read the store either. Many hosts may have lost it, and those that come first in
+	// the order must not be tried again before the others.
+	lostSuspectDuration = 12 * time.Second
 	// maxKeptRemovals bounds the removed rows that are kept for hosts that are
 	// behind, about two releases of the largest known pool. A host that is
 	// further behind gets the whole table.
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -352,6 +352,37 @@
 	}
 }
 
+// Guards against a host that finds no reader in a large region, because it tries the
+// same first hosts again and again while they have lost the store.
+func TestReadersBeyondFirstHosts(t *testing.T) {
+	var many []beacon.Host
+	for i := range 33 {
+		many = append(many, beacon.Host{ID: cove.HostID(fmt.Sprintf("h%02d", i)), Region: "east", Domain: "east-a"})
+	}
+	f := &fleet{hosts: many, silent: make(map[cove.HostID]bool), clustered: true}
+	clk := new(clock.Manual)
+	s := &Service{Self: many[32], Clock: clk, Hosts: f, Counters: new(meter.Meter), Events: noEvents{}}
+	const (
+		lost = 12
+		// within is the bound of a change, and the most that an outage of the store for
+		// some hosts adds to it.
+		within = 10 * time.Second
+		// each is the time for one reader, with the pause after it.
+		each = 600 * time.Millisecond
+	)
+	s.MarkStale("config")
+	for begun := clk.Now(); ; clk.Advance(each) {
+		r, other := s.Reader("config")
+		if other && r.ID >= many[lost].ID {
+			return
+		}
+		if clk.Now().Sub(begun) > within {
+			t.Fatalf("still tries %s after %v", r.ID, within)
+		}
+		s.markSuspect(r.ID, "config", errStale)
+	}
+}
+
 // Guards against a lag that starts anew with each host that passes a table on.
 func TestLagAddsUp(t *testing.T) {
 	f, hosts := newFleet(t)
