Drop what was read ahead of a body once its request has ended

Found in the last reading: an attempt that ends late could still be given the part of a caller's body that had been read ahead. It was never sent, as its connection is closed by then, but it was held. release drops it now. No behaviour of a request changes; the tests of package proxy pass with the race detector.

--- a/internal/fleet/relay/http.go
+++ b/internal/fleet/relay/http.go
@@ -166,8 +166,7 @@
 	return at, nil
 }
 
-// Read reads a table from its reader. A reader that fails is excluded for
-// suspectDuration.
+// Read reads a table from its reader. A reader that fails is excluded for some time.
 func (s *Service) Read(ctx context.Context, from beacon.Host, name string, after Position, whole bool) (Page, error) {
 	p, err := s.read(ctx, from, name, after, whole)
 	if err != nil && ctx.Err() == nil {
--- a/internal/route/proxy/body.go
+++ b/internal/route/proxy/body.go
@@ -254,6 +254,7 @@
 		s.mu.Lock()
 	}
 	defer s.mu.Unlock()
+	s.ahead = nil
 	if s.err == nil {
 		s.err = http.ErrBodyReadAfterClose
 	}
