Report crashes by a list of keys; one stand-in of fragile servers

From the reading of the whole change, no behaviour meant to change. checkCrash hashed the key of streams for every request and had two branches for what it reports; it now builds the keys once, the second one only for streams. The test of crashing streams had its own copy of newFragileServers, which now also knows deadly bodies; the assertions of both tests are the same.

Checked: gofmt, vet, staticcheck, tools/checks.sh, package proxy with the race detector, and its crash tests five times more.

--- a/internal/route/proxy/crash.go
+++ b/internal/route/proxy/crash.go
@@ -63,20 +63,23 @@
 		return
 	}
 	key, known := t.exchange.content()
-	streamed, streamKey := t.exchange.body.stream != nil, t.exchange.streamKey()
+	var keys []uint64
+	if known {
+		keys = append(keys, key)
+	}
+	if t.exchange.body.stream != nil {
+		keys = append(keys, t.exchange.streamKey())
+	}
 	target := t.target
 	check := func(ctx context.Context) error {
-		c, err := dial(ctx, p.cfg.DialTimeout, target.Addr, &t.proxy.pool.heads)
+		c, err := dial(ctx, p.cfg.DialTimeout, target.Addr, &p.pool.heads)
 		switch {
 		case err == nil:
 			c.close()
 		case ctx.Err() == nil && (p.ReachesServers == nil || p.ReachesServers(ctx)):
-			if known {
+			for _, key := range keys {
 				p.Crashes.Crashed(key, target.Server)
 			}
-			if streamed {
-				p.Crashes.Crashed(streamKey, target.Server)
-			}
 		}
 		return nil
 	}
--- a/internal/route/proxy/crash_test.go
+++ b/internal/route/proxy/crash_test.go
@@ -16,16 +16,21 @@
 )
 
 // newFragileServers starts backend servers that crash when they run a request for a
-// path with "deadly", and only break the connection of one with "cut". crashed
-// counts the crashes.
+// path with "deadly" or with a body that begins so, and only break the connection of
+// one for a path with "cut". crashed counts the crashes.
 func newFragileServers(t *testing.T, n int) (targets []cove.Target, crashed *atomic.Int64) {
 	t.Helper()
 	crashed = new(atomic.Int64)
 	for i := range n {
 		var srv *httptest.Server
 		srv = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			deadly := strings.Contains(r.URL.Path, "deadly")
+			if !deadly {
+				data, err := io.ReadAll(r.Body)
+				deadly = err == nil && strings.HasPrefix(string(data), "deadly")
+			}
 			switch {
-			case strings.Contains(r.URL.Path, "deadly"):
+			case deadly:
 				crashed.Add(1)
 				// The port refuses connections before the connection breaks.
 				_ = srv.Listener.Close()
@@ -102,22 +107,7 @@
 		size    int
 	}{"chunks": {true, 30}, "long": {false, 3 * maxBufferedBody}, "long, in chunks": {true, 3 * maxBufferedBody}} {
 		t.Run(name, func(t *testing.T) {
-			crashed := new(atomic.Int64)
-			var targets []cove.Target
-			for i := range servers {
-				var srv *httptest.Server
-				srv = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-					if data, err := io.ReadAll(r.Body); err == nil && strings.HasPrefix(string(data), "deadly") {
-						crashed.Add(1)
-						_ = srv.Listener.Close()
-						panic(http.ErrAbortHandler)
-					}
-				}))
-				t.Cleanup(srv.Close)
-				targets = append(targets, cove.Target{
-					Server: cove.ServerID(fmt.Sprint("s", i)), Pool: "main", Addr: netip.MustParseAddrPort(srv.Listener.Addr().String()),
-				})
-			}
+			targets, crashed := newFragileServers(t, servers)
 			h := newHost(t, "a", nil, Config{}, targets...)
 			h.Crashes = crash.New("a", clock.System{}, h.log, oneHost{})
 			send := func(text string) (int, string) {
