Never wait for the reader of a host's output, nor end when it is gone

Callers saw no answer to any request of a host whose standard output was a pipe that nobody read: the first event that a response causes (server.draining, server.ejected, server.limited) blocked in the write, with the mutex of the balancer held. The loop of signals blocked in settings.reload in the same way, so that the host did not notice SIGTERM and SIGKILL took all requests. With a closed pipe, the next line ended the process by SIGPIPE with all its requests. Package log, to which net/http writes panics and errors of accept, blocks on standard error as well.

Cause: event.Log wrote through slog to os.Stdout in the goroutine of the caller. Only the records of package audit went through a buffer.

Change: lines.Writer holds up to 512 KiB of lines and writes them in the background; further lines are dropped and counted (log.dropped, log.writeFailed), and the counters line reports both. Close writes the last lines at a stop, for 200 ms at most. SIGPIPE is ignored. The product's own serve command gets the same for standard error.

Ruled out: a limit of time for each write, which still blocks all requests for that time; a non-blocking descriptor, a flag that is shared with other processes.

--- a/internal/ops/cmds/serve.go
+++ b/internal/ops/cmds/serve.go
@@ -17,6 +17,7 @@
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/config"
 	"turmericcove.org/cove/internal/core/group"
+	"turmericcove.org/cove/internal/core/lines"
 	"turmericcove.org/cove/internal/fleet/peer"
 	"turmericcove.org/cove/internal/ops/demo"
 	"turmericcove.org/cove/internal/ops/entry"
@@ -122,7 +123,12 @@
 	if err != nil {
 		return usageError(err)
 	}
-	d, err := entry.New(s, entry.Options{Logger: newLogger(s.Log, e.errOut)})
+	// A closed standard error must not end the process with its requests.
+	signal.Ignore(syscall.SIGPIPE)
+	w := &lines.Writer{Out: e.errOut}
+	// Lines that errOut does not take in time are lost.
+	defer func() { _ = w.Close() }()
+	d, err := entry.New(s, entry.Options{Logger: newLogger(s.Log, w)})
 	if err != nil {
 		return err
 	}
