Answer a request whose handler panics, release its permit and log the stack

Callers saw their connection closed without an answer when the handler of their request panicked, with all that they had sent ahead on it. The permit of the attempt stayed taken, so that the backend server looked busier with each panic, and its connection stayed open until the server closed it. The stack went to standard error only, without the request's id and without a counter. A request that came through another host was answered 502 there.

Cause: net/http recovers a panic of a handler by closing the connection (HTTP/2: by resetting the stream). Nothing in the proxy ended the attempt.

Change: the handlers defer handlePanic, which ends the attempts that are still open and answers 500 with an unknown outcome (reason internalError): it promises nothing. If the header has been written, the connection is aborted as before, so that a truncated response does not look complete. The stack and the request's id are logged as proxy.panic, one line a second; proxy.panics counts all.

Not covered: a panic in a goroutine of a group still ends the process.

--- a/internal/route/proxy/answer.go
+++ b/internal/route/proxy/answer.go
@@ -165,7 +165,7 @@
 	if a.complete {
 		p.deliverBuffered(x, a, status)
 	} else {
-		x.w.WriteHeader(status)
+		x.writeHeader(status)
 		p.stream(x, a)
 	}
 	copyTrailer(h, a.resp.Trailer)
@@ -178,7 +178,7 @@
 	if h["Content-Length"] == nil && a.lengthKnown() {
 		h["Content-Length"] = []string{strconv.Itoa(len(a.data))}
 	}
-	x.w.WriteHeader(status)
+	x.writeHeader(status)
 	if len(a.data) == 0 {
 		return
 	}
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -54,6 +54,10 @@
 	started  time.Time
 	// superseded is set when the response of another attempt is used.
 	superseded atomic.Bool
+	// ended is set when the permit is released.
+	ended atomic.Bool
+	// previous is the attempt of the exchange begun before this one.
+	previous *attempt
 	// connectTime is how long it took to connect, or 0 for a reused connection.
 	connectTime time.Duration
 }
@@ -139,6 +143,7 @@
 		return nil, &failure{refusal: admissionRefusal(err)}
 	}
 	t := &attempt{proxy: p, exchange: x, ctx: ctx, permit: permit, target: permit.Target(), started: p.Clock.Now()}
+	x.addAttempt(t)
 	x.pinPool(t.target.Pool)
 	p.recordPlacement(x, t)
 	if x.attempts == 1 && !x.fromPeer {
@@ -251,6 +256,7 @@
 	if res.Latency == 0 {
 		res.Latency = t.proxy.Clock.Now().Sub(t.started)
 	}
+	t.ended.Store(true)
 	t.permit.Done(res)
 	if t.proxy.Histograms != nil {
 		t.proxy.Histograms.Observe("attemptSeconds", "pool", string(t.target.Pool), res.Latency)
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,11 @@
 	// sentToOwner marks a keyed request that another host forwarded to this one
 	// as the owner of its key.
 	sentToOwner bool
+	// answered is set before the header of the response is written.
+	answered bool
+	// attemptsMu guards lastAttempt, the attempt begun last.
+	attemptsMu  sync.Mutex
+	lastAttempt *attempt
 	// fromPeer marks a request from another entry host.
 	fromPeer bool
 }
@@ -131,6 +137,12 @@
 	}
 }
 
+// writeHeader writes the header of the response to the caller.
+func (x *exchange) writeHeader(status int) {
+	x.answered = true
+	x.w.WriteHeader(status)
+}
+
 // remaining returns the time until the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration {
 	return x.deadline.Sub(now)
--- a/internal/route/proxy/fakes_test.go
+++ b/internal/route/proxy/fakes_test.go
@@ -56,8 +56,10 @@
 	statuses []cove.ServerStatus
 	// before runs while a request waits for its permit.
 	before func()
-	open   atomic.Int64
-	silent atomic.Int64
+	// sent and responded run when a permit hears of the request and of its response.
+	sent, responded func()
+	open            atomic.Int64
+	silent          atomic.Int64
 }
 
 func (f *fakeAdmitter) Admit(ctx context.Context, _ []cove.PoolWeight, w cove.RequestInfo, ex cove.Exclude) (cove.Permit, error) {
@@ -94,8 +96,15 @@
 }
 
 func (p *fakePermit) Target() cove.Target { return p.t }
-func (p *fakePermit) Sent()               {}
+func (p *fakePermit) Sent() {
+	if p.f.sent != nil {
+		p.f.sent()
+	}
+}
 func (p *fakePermit) Responded(s cove.ServerStatus) {
+	if p.f.responded != nil {
+		p.f.responded()
+	}
 	p.f.mu.Lock()
 	defer p.f.mu.Unlock()
 	p.f.statuses = append(p.f.statuses, s)
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -66,6 +66,7 @@
 	}
 	x := &exchange{w: w, r: r, started: p.Clock.Now(), fromPeer: true}
 	defer p.endExchange(x)
+	defer p.handlePanic(x)
 	if ref := p.restoreExchange(x); ref != nil {
 		writeHopRefusal(w, ref)
 		return
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -70,6 +70,8 @@
 	active   atomic.Int64
 	arrivals atomic.Int64
 	phase    atomic.Int32
+	// panicLogged is when a panic was last logged, in Unix nanoseconds.
+	panicLogged atomic.Int64
 	// stopBy is when the requests in progress are cut off; nil if that is not known.
 	stopBy atomic.Pointer[time.Time]
 }
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -91,6 +91,7 @@
 	x := &exchange{w: w, r: r, started: p.Clock.Now()}
 	x.callerID, x.id = p.requestIDs(r.Header)
 	defer p.endExchange(x)
+	defer p.handlePanic(x)
 	a, err := p.handle(x)
 	if err != nil {
 		p.writeFailure(x, err)
@@ -109,6 +110,7 @@
 	ref := x.finalRefusal(asRefusal(err))
 	p.recordEnd(x, ref.Status, ref)
 	x.closeIfUnread()
+	x.answered = true
 	if x.r.Context().Err() != nil {
 		p.Counters.Add(counterCanceled, 1)
 		p.writeProblem(x.w, x.callerID, ref)
--- a/refuse.go
+++ b/refuse.go
@@ -52,6 +52,7 @@
 	ReasonPaused           Reason = "paused"
 	ReasonCrashesServers   Reason = "crashesServers"
 	ReasonIsolated         Reason = "isolated"
+	ReasonInternal         Reason = "internalError"
 )
 
 // RetryReason is the stable identifier of the reason for another attempt. Each
