Take only requests that end before a stopping host does

Callers: in a planned stop a request that came late in the grace was taken, passed on and cut off without an answer, bookings among them (LOST).

Cause: a leaving host took a request if 1.5 times the P95 latency of its route was left. That is a guess about the route, not a bound on the request: the slowest twentieth, a busy server, a body that takes seconds, a host that is short of processor time take longer.

Evidence: TestSlowRequestTakenLateInStopIsCut, a route that answers in 20 ms as a rule and a server that takes 1.5 s; before the change "status 0, unexpected EOF", "1 requests were cut", "1 requests ran".

The estimate is gone, also for idempotent requests: a caller loses more by a cut response than by another host's answer.

Ruled out: an estimate for idempotent requests only (they are counted too).

--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -31,9 +31,8 @@
 func (p *Proxy) leaving() bool  { return p.phase.Load() >= phaseLeaving }
 func (p *Proxy) stopping() bool { return p.phase.Load() >= phaseStopping }
 
-// finishFactor is the multiple of a route's P95 latency that a leaving host must have
-// left to take a request.
-const finishFactor = 1.5
+// answerTime is the time to write the last responses before the connections are closed.
+const answerTime = 100 * time.Millisecond
 
 // lateRetryAfter is when a caller may retry a request that this host takes no more.
 // Another host may serve it at once.
@@ -43,14 +42,14 @@
 var errTooLate = refuseLate()
 
 func refuseLate() *cove.Refusal {
-	r := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host stops before the request is likely to end")
+	r := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host may stop before the request ends")
 	r.RetryAfter = lateRetryAfter
 	return r
 }
 
 // Leave makes responses close the callers' connections, so that callers
-// reconnect to other hosts. Requests are still served, unless they are likely to
-// take longer than the deadline of ctx allows.
+// reconnect to other hosts. Requests are still served if their deadlines are before
+// that of ctx.
 func (p *Proxy) Leave(ctx context.Context) {
 	if end, ok := ctx.Deadline(); ok {
 		p.stopBy.Store(&end)
@@ -113,19 +112,12 @@
 	}
 }
 
-// refuseUnfinished returns a refusal if this host is about to stop before the request
-// is likely to have ended. While the latency of the route is not known, it may take
-// until its deadline.
+// refuseUnfinished returns a refusal if this host may stop before the request ends. How
+// long requests take as a rule does not count: a response that is late by chance would
+// be cut off, and callers have other hosts.
 func (p *Proxy) refuseUnfinished(x *exchange) *cove.Refusal {
 	end := p.stopBy.Load()
-	if end == nil {
-		return nil
-	}
-	needed := x.remaining(p.Clock.Now())
-	if p95, ok := x.stats.latency.P95(); ok {
-		needed = min(needed, time.Duration(finishFactor*float64(p95)))
-	}
-	if time.Until(*end) >= needed {
+	if end == nil || time.Until(*end) >= x.remaining(p.Clock.Now())+answerTime {
 		return nil
 	}
 	return errTooLate
--- a/internal/route/proxy/stop_test.go
+++ b/internal/route/proxy/stop_test.go
@@ -65,6 +65,67 @@
 	}
 }
 
+// Guards against requests that a stopping host takes because their route is fast as a
+// rule, and cuts off when their server is not.
+func TestSlowRequestTakenLateInStopIsCut(t *testing.T) {
+	t.Parallel()
+	const (
+		usual   = 20 * time.Millisecond
+		grace   = 2 * time.Second
+		late    = 900 * time.Millisecond
+		samples = 64
+	)
+	servers, targets := newServers(t, 1, server.Config{ServiceTime: 3 * time.Second / 2})
+	h := newHost(t, "a", nil, Config{QuietTime: grace}, targets...)
+	for range samples {
+		h.routeStats.get("open").latency.Observe(time.Now(), usual)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		time.Sleep(late)
+		if status, err := postRaw(dialRaw(t, h)); err != nil || status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, %v", status, err)
+		}
+	})
+	if err := h.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if n := len(servers[0].Runs()); n != 0 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+// Guards against a leaving host that refuses requests which end in time even if
+// their server never responds.
+func TestLeavingHostServesShortRequests(t *testing.T) {
+	t.Parallel()
+	const grace = 2 * time.Second
+	_, targets := newServers(t, 1, server.Config{ServiceTime: 10 * time.Millisecond})
+	h := newHost(t, "a", nil, Config{QuietTime: grace}, targets...)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		time.Sleep(grace / 4)
+		resp, err := http.Get(h.url + "/hurry")
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+		_ = resp.Body.Close()
+	})
+	if err := h.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+}
+
 // Guards against a log that does not tell which requests a stop has cut, and whether
 // they had been sent to a server.
 func TestCutRequestIsReported(t *testing.T) {
