Ask before each attempt whether a request ends before the host stops

Callers: a request that had come before a stop or early in it was passed on late in the grace and cut off without an answer (LOST), among them bookings with a body that arrived over seconds.

Cause: whether the host still has time was asked once, when the header had been read. A slow body, a wait for admission or a first attempt that failed came after that.

Evidence: TestRequestWithSlowBodyIsCutAtStop and TestRetryBegunLateInStopIsCut failed before with "1 requests were cut" and "unexpected EOF".

Change: the question is asked again when an attempt has its connection, before the first byte is sent. A first attempt is refused as not run; instead of a later one the caller gets the failure of the one before, while the connection is still open.

Measured: both tests pass; proxy tests with the race detector pass. Ruled out: asking at retries only, which leaves the bodies out.

--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -164,9 +164,11 @@
 	}
 	// The key may have been withdrawn while the request waited for admission.
 	if ref := t.proxy.recheckKey(t.exchange); ref != nil {
-		t.upstream.finish(false)
-		t.done(cove.AttemptResult{Canceled: true})
-		return &failure{refusal: ref}
+		return t.refuse(ref)
+	}
+	// The body of the request, admission or an earlier attempt may have taken long.
+	if ref := t.proxy.refuseUnfinished(t.exchange); ref != nil {
+		return t.refuse(ref)
 	}
 	t.permit.Sent()
 	t.exchange.sentTo.Store(&t.target)
@@ -178,6 +180,13 @@
 	return nil
 }
 
+// refuse ends an attempt that is not sent.
+func (t *attempt) refuse(r *cove.Refusal) *failure {
+	t.upstream.finish(false)
+	t.done(cove.AttemptResult{Canceled: true})
+	return &failure{refusal: r}
+}
+
 // expectedServer returns the header that names the intended backend server.
 func (t *attempt) expectedServer() field {
 	return field{name: t.proxy.cfg.Dialect.ExpectedServerHeader, value: string(t.target.Server)}
--- a/internal/route/proxy/stop_test.go
+++ b/internal/route/proxy/stop_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/bench/server"
 )
 
@@ -126,6 +127,80 @@
 	wg.Wait()
 }
 
+// Guards against a body that arrives slowly during a stop, after which the request is
+// sent too late to end in time.
+func TestRequestWithSlowBodyIsCutAtStop(t *testing.T) {
+	t.Parallel()
+	const grace = time.Second
+	servers, targets := newServers(t, 1, server.Config{ServiceTime: 3 * time.Second})
+	h := newHost(t, "a", nil, Config{QuietTime: grace}, targets...)
+	nc := dialRaw(t, h)
+	if _, err := io.WriteString(nc, "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo"); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "a request in progress", func() bool { return h.active.Load() > 0 })
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		time.Sleep(grace / 2)
+		if _, err := io.WriteString(nc, "dy"); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := h.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(headerOutcome) != string(cove.NotRun) {
+		t.Errorf("status %d, outcome %q", resp.StatusCode, resp.Header.Get(headerOutcome))
+	}
+	if n := len(servers[0].Runs()); n != 0 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+// Guards against a second attempt that a stopping host begins too late, so that the
+// caller gets no answer instead of that of the first one.
+func TestRetryBegunLateInStopIsCut(t *testing.T) {
+	t.Parallel()
+	const grace = time.Second
+	slow, targets := newServers(t, 2, server.Config{ServiceTime: 3 * time.Second})
+	h := newHost(t, "a", nil, Config{QuietTime: grace, DisableHedging: true}, targets...)
+	nc := dialRaw(t, h)
+	if _, err := io.WriteString(nc, "GET /proofs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "a request at a server", func() bool { return h.admit.open.Load() > 0 })
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		time.Sleep(grace / 2)
+		// The server ends with the request under way.
+		if err := slow[0].Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := h.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // Guards against a log that does not tell which requests a stop has cut, and whether
 // they had been sent to a server.
 func TestCutRequestIsReported(t *testing.T) {
