Answer requests that are read while a stopping host closes its connections

Callers: around a planned stop several requests of one host ended at one moment in the middle of the grace, without an answer, a log line or a counter (LOST). None of them had been sent to a server.

Cause: http.Server.Shutdown. From its begin net/http closes a connection as soon as it has read an HTTP/1 request on it, without calling the handler. It runs for up to five seconds while a new connection has sent nothing, and a host that is short of processor time reads late what came before.

Evidence: TestRequestReadWhileConnectionsCloseIsDropped failed before: "connection 1: status 0, unexpected EOF".

Change: a stopping host closes its listener, gives the connections accepted last 100 ms to send their requests, which are refused, and then lets reads fail on HTTP/1 connections without a request, until none is open. What has been read by then is answered; what has not been read is reset, which tells the caller that it has not run. Shutdown is called for HTTP/2 connections only.

The hard stop in TestStop and two newer tests wait until the request has been sent: one that only waits in the host is refused now and not cut.

Ruled out: closing the connections themselves, which drops what was read just before.

--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strconv"
+	"sync/atomic"
 )
 
 // headerViolation marks an ambiguous request. The guard inserts it into the
@@ -256,6 +257,8 @@
 	guard guard
 	// tls is set if Conn uses TLS.
 	tls bool
+	// http2 is set once the connection speaks HTTP/2.
+	http2 atomic.Bool
 	// pending is read before the connection ends.
 	pending []byte
 }
@@ -269,6 +272,9 @@
 	}
 	n, err := c.Conn.Read(b)
 	passed, ok := c.guard.scan(b[:n])
+	if c.guard.state == guardHTTP2 && !c.http2.Load() {
+		c.http2.Store(true)
+	}
 	if ok {
 		return n, err
 	}
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -303,7 +303,7 @@
 	_, targets = newServers(t, 1, server.Config{ServiceTime: time.Minute})
 	h = newHost(t, "b", nil, Config{}, targets...)
 	new(sync.WaitGroup).Go(func() { _, _ = http.Get(h.url + "/open") })
-	waitFor(t, "a request in progress", func() bool { return h.admit.open.Load() > 0 })
+	waitFor(t, "a request at the server", h.hasSent)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if err := h.Stop(ctx); err == nil || h.meter.Count("proxy.cutRequests") != 1 {
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -33,6 +33,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerKey{}, newCaller(c.RemoteAddr().String(), overTLS(c)))
 		},
+		ConnState: p.conns.observe,
 		// Lets checkTarget refuse OPTIONS *.
 		DisableGeneralOptionsHandler: true,
 	}
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -60,6 +60,7 @@
 	retryBudgets retry.Budgets
 	waiting      waitingAttempts
 	progress     inProgress
+	conns        callerConns
 	// keyedMemory bounds the memory held by requests with an idempotency key.
 	keyedMemory quota
 	routeStats  routeStatsMap
@@ -67,6 +68,8 @@
 
 	server   *http.Server
 	listener net.Listener
+	// acceptEnded is closed when no more connections are accepted.
+	acceptEnded chan struct{}
 
 	active   atomic.Int64
 	arrivals atomic.Int64
@@ -129,6 +132,7 @@
 	}
 	p.listener = ln
 	p.server = p.newServer()
+	p.acceptEnded = make(chan struct{})
 	p.tasks.Go(p.sweep)
 	p.tasks.Go(func(context.Context) error { return p.accept(ln) })
 	return nil
@@ -138,6 +142,7 @@
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
 func (p *Proxy) accept(ln net.Listener) error {
+	defer close(p.acceptEnded)
 	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), plain: p.cfg.TLS == nil, onFull: func() {
 		p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1)
 	}}
@@ -147,7 +152,7 @@
 		ln = bounded
 	}
 	err := p.server.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || p.stopping() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	p.Events.Emit("proxy.acceptFailed", err.Error())
--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -73,7 +73,7 @@
 		err = p.waitIdle(ctx)
 	}
 	if err == nil {
-		err = p.server.Shutdown(ctx)
+		err = p.closeConns(ctx)
 	}
 	if err != nil {
 		p.progress.interrupt()
@@ -125,6 +125,26 @@
 	return errTooLate
 }
 
+// closeConns closes the listener and the connections without a request. From its begin
+// http.Server.Shutdown drops the HTTP/1 requests that it reads, so it is called only
+// when there are HTTP/2 connections alone, which it tells that this host stops.
+func (p *Proxy) closeConns(ctx context.Context) error {
+	if err := p.listener.Close(); err != nil {
+		return errors.Wrap(err, "stop listening for callers")
+	}
+	<-p.acceptEnded
+	// The connections accepted last may still send their requests, to be refused.
+	if err := p.Clock.Sleep(ctx, answerTime); err != nil {
+		return err
+	}
+	for p.conns.expire() > 0 {
+		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	return p.server.Shutdown(ctx)
+}
+
 // waitIdle waits until no request is in progress.
 func (p *Proxy) waitIdle(ctx context.Context) error {
 	for p.active.Load() > 0 {
--- a/internal/route/proxy/stop_test.go
+++ b/internal/route/proxy/stop_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/bench/server"
 )
@@ -128,6 +131,18 @@
 	wg.Wait()
 }
 
+// hasSent reports whether a request has been sent to a server and not been answered.
+func (h *host) hasSent() bool {
+	h.progress.mu.Lock()
+	defer h.progress.mu.Unlock()
+	for x := range h.progress.exchanges {
+		if x.stage.Load() == stageSent {
+			return true
+		}
+	}
+	return false
+}
+
 // blockingLimiter makes requests wait for tokens until their context ends.
 type blockingLimiter struct{ waiting atomic.Int64 }
 
@@ -217,7 +232,7 @@
 	if _, err := io.WriteString(nc, "GET /proofs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	waitFor(t, "a request at a server", func() bool { return h.admit.open.Load() > 0 })
+	waitFor(t, "a request at a server", h.hasSent)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -242,6 +257,62 @@
 	}
 }
 
+// Guards against requests that are read while a stopping host closes its connections,
+// and dropped without an answer.
+func TestRequestReadWhileConnectionsCloseIsDropped(t *testing.T) {
+	t.Parallel()
+	_, targets := newServers(t, 1, server.Config{})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	var conns []net.Conn
+	for range 3 {
+		conns = append(conns, dialRaw(t, h))
+	}
+	// One connection has carried a request.
+	if status, err := postRaw(conns[0]); err != nil || status != http.StatusOK {
+		t.Fatal(status, err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if err := h.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	waitFor(t, "a host that does not listen", func() bool {
+		nc, err := net.Dial("tcp", h.Addr().String())
+		if err != nil {
+			return true
+		}
+		_ = nc.Close()
+		return false
+	})
+	for i, nc := range conns {
+		time.Sleep(20 * time.Millisecond)
+		if closed(t, nc) {
+			continue
+		}
+		if status, err := postRaw(nc); err != nil || status != http.StatusServiceUnavailable {
+			t.Errorf("connection %d: status %d, %v", i, status, err)
+		}
+	}
+	wg.Wait()
+}
+
+// closed reports whether the other end has closed a connection on which nothing is to
+// be read.
+func closed(t *testing.T, nc net.Conn) bool {
+	t.Helper()
+	if err := nc.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := nc.Read(make([]byte, 1))
+	if err := nc.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Guards against a log that does not tell which requests a stop has cut, and whether
 // they had been sent to a server.
 func TestCutRequestIsReported(t *testing.T) {
@@ -252,7 +323,7 @@
 	if _, err := io.WriteString(nc, "GET /open HTTP/1.1\r\nHost: x\r\nX-Request-Id: cut-1\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	waitFor(t, "a request at the server", func() bool { return h.admit.open.Load() > 0 })
+	waitFor(t, "a request at the server", h.hasSent)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	if err := h.Stop(ctx); err == nil {
