Do not take a stall of a stopping host for quiet

Callers: a host that got no processor time early in its stop closed its listener right after, while its callers still sent to it.

Cause: the host stops taking requests when none has arrived for QuietTime, and took that from the clock. While the process did not run nothing arrived for it.

Evidence: TestStallIsNotQuiet: after a stall of two seconds the timer counted the stall.

Change: quietTimer counts polls; a longer time between two of them counts as one.

--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -93,19 +93,15 @@
 // QuietTime. As callers may keep sending, it waits for at most MaxQuietWait or
 // half of the time until the deadline of ctx.
 func (p *Proxy) waitQuiet(ctx context.Context) error {
-	last := p.arrivals.Load()
-	since := p.Clock.Now()
 	limit := p.cfg.MaxQuietWait
 	if d, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(d)/2)
 	}
-	end := since.Add(limit)
+	end := p.Clock.Now().Add(limit)
+	var q quietTimer
 	for {
 		now := p.Clock.Now()
-		if n := p.arrivals.Load(); n != last || p.active.Load() > 0 {
-			last, since = n, now
-		}
-		if now.Sub(since) >= p.cfg.QuietTime || !now.Before(end) {
+		if q.poll(now, p.arrivals.Load(), p.active.Load()) >= p.cfg.QuietTime || !now.Before(end) {
 			return nil
 		}
 		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
@@ -114,6 +110,26 @@
 	}
 }
 
+// quietTimer measures how long no request has been in progress or arrived. The zero
+// value is ready to use.
+type quietTimer struct {
+	polled   time.Time
+	arrivals int64
+	quiet    time.Duration
+}
+
+// poll is called every pollInterval. Time in which it was not called counts as one
+// interval, because a process that did not run has not seen what arrived.
+func (q *quietTimer) poll(now time.Time, arrivals, active int64) time.Duration {
+	if q.polled.IsZero() || arrivals != q.arrivals || active > 0 {
+		q.quiet = 0
+	} else {
+		q.quiet += min(now.Sub(q.polled), 2*pollInterval)
+	}
+	q.polled, q.arrivals = now, arrivals
+	return q.quiet
+}
+
 // refuseUnfinished returns a refusal if this host may stop before the request ends. How
 // long requests take as a rule does not count: a response that is late by chance would
 // be cut off, and callers have other hosts.
