Move an object off a server that may not take it when all others are limited

What callers saw: a request for an object was read and its connection closed with no answer; a stack trace in the log, no counter.

Cause: selectServer expects a candidate. With no server at hand it goes on for an object if some server can lend tokens, and applyAssignment returned the empty list unchanged if the server of the object may not take it for another reason than its limit or a pause: its failure domain is evacuated, it is cold, or another server answered at its address. Then candidates[0] panics. net/http ends the connection; the lock is released by a defer. Each request for such objects fails until a token is to spare.

Before the change, TestObjectLeavesUnusableServerForLimitedOnes, all three cases: panic: runtime error: index out of range [0] with length 0 steer.(*Balancer).selectServer balancer.go:226

Change: with no other server at hand the object leaves its server under the same bounds as one that its server has no room for (1 s since the last move, the bound on changes of region), and the request may borrow a token of the new one. Otherwise it is refused as not run.

Ruled out: the index -1 of the late probe. Choose returns TooLate only if a candidate that is not blocked was too late, so that one is found (TestLateProbeSkipsBlockedServer).

--- a/internal/route/steer/assignment.go
+++ b/internal/route/steer/assignment.go
@@ -43,14 +43,14 @@
 }
 
 // applyAssignment returns order with the server assigned to the request's object
-// at the front. It assigns one to an object that has none, or whose server has
-// more objects than its rate limit allows and no token left.
+// at the front. It assigns one to an object that has none, or that has to leave its
+// server. The result is not empty if the pool has assignable servers.
 func (b *Balancer) applyAssignment(c *selection, req *cove.RequestInfo, order []*server, now time.Time) []*server {
 	p, object, work := c.pool, c.object, c.work
 	if srv := c.assigned; srv != nil {
 		paused := srv.paused(now)
 		missed := srv.limit.Limited && !slices.Contains(order, srv)
-		if !missed && !paused {
+		if !missed && !paused && len(order) > 0 {
 			moveToFront(order, srv)
 			return order
 		}
@@ -89,11 +89,12 @@
 }
 
 // mustMove reports whether an object has to leave the server that it is assigned
-// to, because that has more work than its rate limit allows.
+// to, which cannot take a request of it now: because that has more work than its rate
+// limit allows, or because it may not take requests for another reason.
 func (b *Balancer) mustMove(p *pool, object uint64, srv *server, now time.Time) bool {
 	current, ok := p.assignments.Find(object, now)
 	return ok && current.MayMove(now) &&
-		!p.assignments.HasRoom(place.Server{Key: srv.key, Slots: srv.assignableSlots()}, p.assignments.MeanPerSlot(p.slots, 0))
+		(!srv.limit.Limited || !p.assignments.HasRoom(place.Server{Key: srv.key, Slots: srv.assignableSlots()}, p.assignments.MeanPerSlot(p.slots, 0)))
 }
 
 // moveToFront moves srv to the front of order. It does nothing if srv is not in
--- a/internal/route/steer/ratelimit_test.go
+++ b/internal/route/steer/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -328,3 +329,45 @@
 		t.Errorf("%d of 200 objects are assigned to the six limited servers", limited)
 	}
 }
+
+// Guards against a panic, after which callers got no answer: the server that an
+// object is assigned to may not take requests, and all others name a limit and have
+// no token to spare.
+func TestObjectLeavesUnusableServerForLimitedOnes(t *testing.T) {
+	for name, makeUnusable := range map[string]func(f *fleet, srv *server){
+		"evacuated": func(_ *fleet, srv *server) { srv.domain.evacuated = true },
+		"cold":      func(f *fleet, srv *server) { srv.coldUntil, srv.coldSender = f.clock.Now().Add(time.Minute), false },
+		"misplaced": func(_ *fleet, srv *server) { srv.misplaced = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, 4)
+			p, err := f.admit(0, 7, cove.Exclude{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Done(okResult)
+			f.clock.Advance(2 * time.Second)
+			first := p.Target().Server
+			for id, srv := range f.hosts[0].pools[testPool].servers {
+				if id == first {
+					makeUnusable(f, srv)
+					continue
+				}
+				f.exhaust(t, 0, id)
+			}
+			var refusal *cove.Refusal
+			if _, err := f.admit(0, 7, cove.Exclude{}); !errors.As(err, &refusal) || refusal.Reason != cove.ReasonNoRoom {
+				t.Fatalf("without a token: %v", err)
+			}
+			f.clock.Advance(2 * time.Second)
+			for _, row := range f.table.Pools[0].Servers {
+				f.hosts[0].ApplyLimits([]LimitUpdate{{Pool: testPool, Server: row.ID, Limited: row.ID != first, PerSecond: 20}})
+				f.hosts[0].quotas.TryTake(row.ID, 1)
+			}
+			f.clock.Advance(300 * time.Millisecond)
+			if p, err = f.admit(0, 7, cove.Exclude{}); err != nil || p.Target().Server == first {
+				t.Fatalf("with tokens: %v, %v", p, err)
+			}
+		})
+	}
+}
