Read the answer of a server that has reset the connection while a body was sent

What callers saw: 502 in place of the answer that a server had given, for requests with a body of more than 16 KB or in chunks. Servers may answer before they have read a long body, and some then close; the kernel resets the connection, and the next part of the body cannot be written.

Cause: the goroutine that sends the body closed the connection after any error, so that the server notices a truncated body. After a failed write the response may still be in the receive buffer, and the close discards it. A refusal that says not-run was lost in the same way, and a response that was being passed on would end early.

Change: the connection is closed early only if the body could not be read from the caller. After a failed write the reader gets the response or the error of the connection. The connection is not used again in either case.

Ruled out: a longer wait. A connection that cannot be written is dead for the reader as well, except for what has arrived; the deadline of the exchange bounds it.

--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -53,6 +53,8 @@
 	head headLimit
 	// wrote is set when a byte of the current request may have been sent.
 	wrote atomic.Bool
+	// writeFailed is set when part of the current request could not be sent.
+	writeFailed atomic.Bool
 	// deadline is the deadline of the current exchange.
 	deadline time.Time
 	// closeFunc and peekFunc are method values, created once to save
@@ -99,7 +101,8 @@
 	return n, err
 }
 
-// connWriter records in wrote that bytes may have been sent.
+// connWriter records in wrote that bytes may have been sent, and in writeFailed that
+// some could not be sent.
 type connWriter conn
 
 // Write implements io.Writer. A failed write may have sent some bytes.
@@ -108,12 +111,16 @@
 	if n > 0 || err == nil {
 		w.wrote.Store(true)
 	}
+	if err != nil {
+		w.writeFailed.Store(true)
+	}
 	return n, err
 }
 
 // begin prepares the connection for the next exchange.
 func (c *conn) begin(deadline time.Time) error {
 	c.wrote.Store(false)
+	c.writeFailed.Store(false)
 	c.head.begin()
 	c.deadline = deadline
 	return c.nc.SetDeadline(deadline)
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -91,8 +91,9 @@
 			return nil
 		}
 		b := &u.attempt.exchange.body
-		if u.sendErr = writeBody(u.conn.bw, b, b.stream); u.sendErr != nil {
-			// The backend server must notice that the body is truncated.
+		if u.sendErr = writeBody(u.conn.bw, b, b.stream); u.sendErr != nil && !u.conn.writeFailed.Load() {
+			// The backend server must notice that the body is truncated. One that
+			// takes no more of it may have answered before.
 			u.conn.close()
 		}
 		return nil
