Bound the memory of the request headers of all callers together

Callers saw: on a host of 184 MB with 639 servers, 3,500 connections with a header of 60 KB that does not end took it beyond its limit within a second: 185 MB resident and 49 MB unread with one long line, 127 and 58 with short fields. A host that is killed takes all its requests along.

Cause: a header was bounded for one connection (64 KB by net/http), not for all. A line that spans several reads was held twice, by net/http and by the guard, and the guard kept its buffer for as long as the connection was open.

Change: as for headers of responses, what goes beyond the first 4 KB of a header is reserved from 16 MB for all connections, until its request has ended. A header that does not fit is cut and refused as not run (503, reason hostMemory). The guard drops long buffers.

Ruled out: requests of sound callers hold nothing of this, their headers are shorter than 4 KB.

--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -28,6 +28,9 @@
 	// MaxKeyedTotal bounds the memory of all bodies and responses of requests
 	// with an idempotency key that are in progress.
 	MaxKeyedTotal int64
+	// MaxHeadersTotal bounds the memory of the headers of all callers, from their
+	// arrival to the end of their requests, beyond the first 4 KB of each.
+	MaxHeadersTotal int64
 	// MaxConns bounds the open connections of callers.
 	MaxConns int
 	// MaxRequests bounds the requests in progress, over all connections.
@@ -64,6 +67,7 @@
 	setDefault(&c.MaxAnswerBytes, 256<<20)
 	setDefault(&c.MaxKeyedBytes, 1<<20)
 	setDefault(&c.MaxKeyedTotal, 64<<20)
+	setDefault(&c.MaxHeadersTotal, 16<<20)
 	setDefault(&c.MaxConns, 4096)
 	setDefault(&c.MaxRequests, 2048)
 	setDefault(&c.HeaderTimeout, 5*time.Second)
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -162,6 +162,15 @@
 	block uint64
 	// proto is the scheme that the caller uses.
 	proto string
+	// heads reserves the memory of headers; nil for HTTP/2 over TLS.
+	heads *headReserve
+}
+
+// endRequest releases what the header of r has reserved.
+func (c *caller) endRequest(r *http.Request) {
+	if c.heads != nil && r.ProtoMajor == 1 {
+		c.heads.release()
+	}
 }
 
 type callerKey struct{}
--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -11,8 +11,15 @@
 // header in place of the offending bytes.
 const headerViolation = peerPrefix + "Violation"
 
-// violationLine replaces the rest of a header that contains a violation.
-const violationLine = headerViolation + ": 1\r\n\r\n"
+// headerNoMemory marks a request whose header does not fit into the memory for all
+// headers. The guard inserts it like headerViolation.
+const headerNoMemory = peerPrefix + "No-Memory"
+
+// endOfHeader replaces, behind one of these names, the rest of a header.
+const endOfHeader = ": 1\r\n\r\n"
+
+// maxKeptLine is the size up to which the buffer of a line is kept for later ones.
+const maxKeptLine = 4 << 10
 
 // maxLineBytes bounds a header line that spans several reads.
 const maxLineBytes = 256 << 10
@@ -47,6 +54,8 @@
 	state guardState
 	// line is the start of a line that spans several reads.
 	line []byte
+	// head is the memory of the header that is being read.
+	head int64
 	// linePassed is set if the start of the current line has been passed on in an
 	// earlier read.
 	linePassed bool
@@ -83,6 +92,7 @@
 		end := bytes.IndexByte(b[n:], '\n')
 		if end < 0 {
 			g.line = append(g.line, b[n:]...)
+			g.countHead(2 * (len(b) - n))
 			return len(b), len(g.line) <= maxLineBytes
 		}
 		line := b[n : n+end+1]
@@ -91,15 +101,29 @@
 			g.line = append(g.line, line...)
 			line = g.line
 		}
+		g.countHead(end + headerLineBytes)
 		if !g.checkLine(line) {
 			return n, false
 		}
-		g.line = g.line[:0]
+		if g.line = g.line[:0]; cap(g.line) > maxKeptLine {
+			g.line = nil
+		}
 		n += end + 1
 	}
 	return n, true
 }
 
+// readsHead reports whether the next byte belongs to a header.
+func (g *guard) readsHead() bool { return g.state == guardRequestLine || g.state == guardHeader }
+
+// countHead adds to the memory of the header. Both net/http and the guard keep the
+// start of a line.
+func (g *guard) countHead(n int) {
+	if g.readsHead() {
+		g.head += int64(n)
+	}
+}
+
 // skip consumes up to n bytes of a body or chunk and returns their number.
 func (g *guard) skip(n int) int {
 	if int64(n) < g.remaining {
@@ -148,7 +172,7 @@
 		g.state = guardPreface
 		return !g.firstLineSeen
 	}
-	*g = guard{state: guardHeader, line: g.line, firstLineSeen: true, notHTTP11: !bytes.HasSuffix(line, []byte(" HTTP/1.1"))}
+	*g = guard{state: guardHeader, line: g.line, head: g.head, firstLineSeen: true, notHTTP11: !bytes.HasSuffix(line, []byte(" HTTP/1.1"))}
 	return true
 }
 
@@ -203,6 +227,7 @@
 	if g.lengthCount > 1 || g.codingCount > 1 || g.lengthCount > 0 && g.codingCount > 0 || g.notHTTP11 && g.codingCount > 0 {
 		return false
 	}
+	g.head = 0
 	switch {
 	case g.chunked:
 		g.state = guardChunkSize
@@ -242,18 +267,21 @@
 	return true
 }
 
-// violation returns the bytes that replace the rest of the header.
-func (g *guard) violation() []byte {
+// cut returns the bytes that replace the rest of the header and mark the request with
+// a name.
+func (g *guard) cut(name string) []byte {
 	if g.linePassed {
-		return []byte("\r\n" + violationLine)
+		return []byte("\r\n" + name + endOfHeader)
 	}
-	return []byte(violationLine)
+	return []byte(name + endOfHeader)
 }
 
 // guardedConn is a caller's connection whose requests are checked by a guard.
 type guardedConn struct {
 	net.Conn
 	guard guard
+	// heads reserves memory for the headers.
+	heads headReserve
 	// tls is set if Conn uses TLS.
 	tls bool
 	// pending is read before the connection ends.
@@ -262,18 +290,25 @@
 
 // Read implements net.Conn. At a violation in a header it returns
 // headerViolation and then io.EOF. The request is thus refused after those
-// before it, and nothing that follows is read.
+// before it, and nothing that follows is read. The same holds, with headerNoMemory,
+// for a header that does not fit into the memory for all headers.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	if c.guard.state == guardEnded {
 		return c.readPending(b)
 	}
 	n, err := c.Conn.Read(b)
 	passed, ok := c.guard.scan(b[:n])
-	if ok {
+	if ok && (!c.guard.readsHead() || c.heads.grow(c.guard.head)) {
 		return n, err
 	}
-	if s := c.guard.state; s == guardRequestLine || s == guardHeader {
-		c.pending = c.guard.violation()
+	if ok {
+		c.guard.linePassed = len(c.guard.line) > 0
+		c.pending = c.guard.cut(headerNoMemory)
+		c.guard.state = guardEnded
+		return n, nil
+	}
+	if c.guard.readsHead() {
+		c.pending = c.guard.cut(headerViolation)
 	}
 	c.guard.state = guardEnded
 	if passed > 0 {
@@ -290,3 +325,9 @@
 	c.pending = c.pending[n:]
 	return n, nil
 }
+
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	c.heads.close()
+	return c.Conn.Close()
+}
--- a/internal/route/proxy/hop.go
+++ b/internal/route/proxy/hop.go
@@ -333,7 +333,7 @@
 	switch r {
 	case cove.ReasonShiftCap:
 		return cove.RetryShiftCap, true
-	case cove.ReasonNoRoom, cove.ReasonQueueFull, cove.ReasonNoServer, cove.ReasonLinkFull, cove.ReasonHostLimit,
+	case cove.ReasonNoRoom, cove.ReasonQueueFull, cove.ReasonNoServer, cove.ReasonLinkFull, cove.ReasonHostLimit, cove.ReasonHostMemory,
 		cove.ReasonStopping, cove.ReasonPaused, cove.ReasonNoTable, cove.ReasonNoRoute, cove.ReasonIsolated:
 		return cove.RetryNoRoom, true
 	case cove.ReasonServerFailed:
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -31,20 +31,29 @@
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    headerLimitFactor * p.cfg.MaxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, callerKey{}, newCaller(c.RemoteAddr().String(), overTLS(c)))
+			caller := newCaller(c.RemoteAddr().String(), overTLS(c))
+			if g, ok := c.(*guardedConn); ok {
+				caller.heads = &g.heads
+			}
+			return context.WithValue(ctx, callerKey{}, caller)
 		},
 		// Lets checkTarget refuse OPTIONS *.
 		DisableGeneralOptionsHandler: true,
 	}
 }
 
+// guardConn returns a caller's connection with a guard.
+func (p *Proxy) guardConn(c net.Conn, tls bool) net.Conn {
+	return &guardedConn{Conn: c, tls: tls, heads: headReserve{total: &p.callerHeads, max: p.cfg.MaxHeadersTotal}}
+}
+
 // boundedListener closes connections above a maximum at once, so that callers
 // fail over to another host instead of waiting in the accept queue.
 type boundedListener struct {
 	net.Listener
 	max int64
-	// plain is set if the connections do not use TLS.
-	plain  bool
+	// wrap replaces a connection that does not use TLS; nil if they use it.
+	wrap   func(net.Conn) net.Conn
 	open   atomic.Int64
 	onFull func()
 }
@@ -58,8 +67,8 @@
 		}
 		if l.open.Add(1) <= l.max {
 			bounded := &boundedConn{Conn: c, open: &l.open}
-			if l.plain {
-				return &guardedConn{Conn: bounded}, nil
+			if l.wrap != nil {
+				return l.wrap(bounded), nil
 			}
 			return bounded, nil
 		}
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -62,6 +62,8 @@
 	progress     inProgress
 	// keyedMemory bounds the memory held by requests with an idempotency key.
 	keyedMemory quota
+	// callerHeads bounds the memory of the headers of callers.
+	callerHeads quota
 	routeStats  routeStatsMap
 	tasks       *group.Group
 
@@ -138,12 +140,13 @@
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
 func (p *Proxy) accept(ln net.Listener) error {
-	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), plain: p.cfg.TLS == nil, onFull: func() {
+	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), onFull: func() {
 		p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1)
 	}}
 	if p.cfg.TLS != nil {
-		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks)
+		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks, func(c net.Conn) net.Conn { return p.guardConn(c, true) })
 	} else {
+		bounded.wrap = func(c net.Conn) net.Conn { return p.guardConn(c, false) }
 		ln = bounded
 	}
 	err := p.server.Serve(ln)
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -33,9 +33,10 @@
 
 // Refusals due to the state of this host.
 var (
-	errNoTable  = refuseUnavailable(cove.ReasonNoTable, "no table yet")
-	errStopping = refuseUnavailable(cove.ReasonStopping, "host is stopping")
-	errBusy     = refuseUnavailable(cove.ReasonHostLimit, "too many requests on this host")
+	errNoTable     = refuseUnavailable(cove.ReasonNoTable, "no table yet")
+	errStopping    = refuseUnavailable(cove.ReasonStopping, "host is stopping")
+	errHeadersFull = refuseUnavailable(cove.ReasonHostMemory, "too many large headers on this host")
+	errBusy        = refuseUnavailable(cove.ReasonHostLimit, "too many requests on this host")
 )
 
 // errNoLocalHandler is the refusal for unknown paths below localPrefix.
@@ -49,6 +50,7 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer callerOf(r).endRequest(r)
 	defer p.active.Add(-1)
 	if ref := p.beginRequest(); ref != nil {
 		p.writeRefusal(w, "", ref)
--- a/internal/route/proxy/shape.go
+++ b/internal/route/proxy/shape.go
@@ -37,6 +37,9 @@
 	if r.Header[headerViolation] != nil {
 		return errInvalidFraming
 	}
+	if r.Header[headerNoMemory] != nil {
+		return errHeadersFull
+	}
 	if ref := checkTarget(r.RequestURI, r.URL); ref != nil {
 		return ref
 	}
--- a/internal/route/proxy/tls.go
+++ b/internal/route/proxy/tls.go
@@ -27,12 +27,14 @@
 	cfg     *tls.Config
 	timeout time.Duration
 	tasks   *group.Group
-	ready   chan net.Conn
-	done    chan struct{}
-	once    sync.Once
+	// wrap replaces connections without HTTP/2.
+	wrap  func(net.Conn) net.Conn
+	ready chan net.Conn
+	done  chan struct{}
+	once  sync.Once
 }
 
-func newTLSListener(ln net.Listener, cfg *tls.Config, timeout time.Duration, tasks *group.Group) *tlsListener {
+func newTLSListener(ln net.Listener, cfg *tls.Config, timeout time.Duration, tasks *group.Group, wrap func(net.Conn) net.Conn) *tlsListener {
 	cfg = cfg.Clone()
 	if len(cfg.NextProtos) == 0 {
 		cfg.NextProtos = []string{protoHTTP2, "http/1.1"}
@@ -42,6 +44,7 @@
 		cfg:      cfg,
 		timeout:  timeout,
 		tasks:    tasks,
+		wrap:     wrap,
 		ready:    make(chan net.Conn),
 		done:     make(chan struct{}),
 	}
@@ -82,7 +85,7 @@
 	}
 	var out net.Conn = conn
 	if conn.ConnectionState().NegotiatedProtocol != protoHTTP2 {
-		out = &guardedConn{Conn: conn, tls: true}
+		out = l.wrap(conn)
 	}
 	select {
 	case l.ready <- out:
--- a/refuse.go
+++ b/refuse.go
@@ -40,6 +40,7 @@
 	ReasonShiftCap         Reason = "shiftCap"
 	ReasonLinkFull         Reason = "linkFull"
 	ReasonHostLimit        Reason = "hostLimit"
+	ReasonHostMemory       Reason = "hostMemory"
 	ReasonStopping         Reason = "stopping"
 	ReasonClaimUnavailable Reason = "claimUnavailable"
 	ReasonKeyReused        Reason = "idempotencyKeyReused"
