Answer requests at servers before a stopping host closes its connections

Callers: in planned stops of busy hosts many requests of one host ended at one moment without an answer (LOST): the form of the users' report.

Cause: at the end of its time a stopping host closed the connections of all requests that it had sent. If the server is busy, such a request may be in the server's queue, or in a connection from which the server has not read yet: no server works on it, and nothing excuses that its caller gets no answer.

TestRequestQueuedAtServerIsCutAtStop failed before: "request 0: unexpected EOF" for eight of eight.

Change: when its time is over the host ends the attempts that wait for the header of a response, and their callers get 504, outcome unknown, which promises nothing and holds whether the server runs them or not. They count as cut as before. Connections are closed 200 ms later (100 before), which only responses that have begun can still need.

Ruled out: 503, as the server may run them; ending them earlier, as nothing tells a request in a server's queue from one that runs.

--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -54,6 +54,8 @@
 	started  time.Time
 	// superseded is set when the response of another attempt is used.
 	superseded atomic.Bool
+	// stopped is set when the host stops before the response has begun.
+	stopped atomic.Bool
 	// connectTime is how long it took to connect, or 0 for a reused connection.
 	connectTime time.Duration
 }
@@ -123,9 +125,7 @@
 		return nil, f
 	}
 	wait, reason := p.hedgeDelay(x)
-	p.waiting.add(t)
-	resp, err := t.upstream.awaitHead(wait)
-	p.waiting.remove(t)
+	resp, err := t.awaitHead(wait)
 	if errors.Is(err, errNoAnswerYet) {
 		return p.hedge(x, t, reason)
 	}
@@ -182,6 +182,21 @@
 	return nil
 }
 
+// awaitHead waits for the header of the response like upstream.awaitHead. Meanwhile the
+// attempt can be ended from outside.
+func (t *attempt) awaitHead(wait time.Duration) (*http.Response, error) {
+	t.proxy.waiting.add(t)
+	defer t.proxy.waiting.remove(t)
+	return t.upstream.awaitHead(wait)
+}
+
+// stop ends an attempt that waits for the header of the response, because the host
+// stops.
+func (t *attempt) stop() {
+	t.stopped.Store(true)
+	t.upstream.abort()
+}
+
 // refuse ends an attempt that is not sent.
 func (t *attempt) refuse(r *cove.Refusal) *failure {
 	t.upstream.finish(false)
@@ -331,6 +346,10 @@
 		t.upstream.finish(false)
 		return t.connectFailed(err)
 	}
+	if t.stopped.Load() {
+		t.abandon(cove.AttemptResult{Canceled: true})
+		return &failure{refusal: errCutOff}
+	}
 	if t.exchange.body.tooLarge() {
 		t.abandon(cove.AttemptResult{Canceled: true})
 		return &failure{refusal: refuseUnknown(errBodyTooLarge.Status, errBodyTooLarge.Reason, errBodyTooLarge.Detail)}
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -48,14 +48,14 @@
 // hedge makes a second attempt at another target and returns the first response.
 func (p *Proxy) hedge(x *exchange, first *attempt, reason cove.RetryReason) (*answer, *failure) {
 	if !p.retryBudgets.For(x.pool()).Spend() {
-		return first.classify(first.upstream.awaitHead(0))
+		return first.classify(first.awaitHead(0))
 	}
 	x.avoid(first.target)
 	x.attempts++
 	ctx, cancel := context.WithCancel(x.ctx)
 	results := make(chan hedgeResult, 2)
 	p.tasks.Go(func(context.Context) error {
-		a, f := first.classify(first.upstream.awaitHead(0))
+		a, f := first.classify(first.awaitHead(0))
 		results <- hedgeResult{true, a, f}
 		return nil
 	})
@@ -95,7 +95,7 @@
 		return nil, f
 	}
 	p.Counters.Add(retryCounter(reason), 1)
-	return t.classify(t.upstream.awaitHead(0))
+	return t.classify(t.awaitHead(0))
 }
 
 // discardLoser cancels the slower attempt and discards its result in the
--- a/internal/route/proxy/isolation.go
+++ b/internal/route/proxy/isolation.go
@@ -6,19 +6,20 @@
 	"sync"
 )
 
-// waitingAttempts holds the attempts that wait for a response of a backend server
-// and may be repeated elsewhere. The zero value is empty.
+// waitingAttempts holds the attempts that wait for the header of a response. The zero
+// value is empty.
 type waitingAttempts struct {
 	mu       sync.Mutex
 	attempts map[*attempt]struct{}
+	stopped  bool
 }
 
 func (w *waitingAttempts) add(t *attempt) {
-	if t.target.Host != "" || !t.exchange.idempotent() || !t.exchange.body.replayable() {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		t.stop()
+	}
 	if w.attempts == nil {
 		w.attempts = make(map[*attempt]struct{})
 	}
@@ -31,13 +32,25 @@
 	delete(w.attempts, t)
 }
 
+// stop ends all attempts, also those that are added later.
+func (w *waitingAttempts) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	for t := range w.attempts {
+		t.stop()
+	}
+}
+
 // AbandonServers ends the attempts that wait for backend servers and may be
 // repeated, because no response can arrive.
 func (p *Proxy) AbandonServers() {
 	p.waiting.mu.Lock()
 	defer p.waiting.mu.Unlock()
 	for t := range p.waiting.attempts {
-		t.upstream.abort()
+		if t.target.Host == "" && t.exchange.idempotent() && t.exchange.body.replayable() {
+			t.upstream.abort()
+		}
 	}
 }
 
--- a/internal/route/proxy/progress.go
+++ b/internal/route/proxy/progress.go
@@ -65,41 +65,38 @@
 	}
 }
 
-// answering reports whether a response is being written, or about to be.
-func (s *inProgress) answering() bool {
+// cut returns the number of requests by route that have been sent, and the fields of an
+// event for each of them, for maxCutEvents at most. leftAt is when the host began to
+// leave.
+func (s *inProgress) cut(now, leftAt time.Time) (byRoute map[cove.RouteName]int64, events [][]cove.Field) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	byRoute = make(map[cove.RouteName]int64)
 	for x := range s.exchanges {
-		if x.stage.Load() >= stageAnswering {
-			return true
+		stage := x.stage.Load()
+		if stage != stageSent && stage != stageAnswering {
+			continue
+		}
+		byRoute[x.route.Name]++
+		if len(events) < maxCutEvents {
+			events = append(events, x.cutFields(stage, now, leftAt))
 		}
 	}
-	return false
+	return byRoute, events
 }
 
-// cutEvents returns the fields of an event for each request in progress, at most max.
-// leftAt is when the host began to leave.
-func (s *inProgress) cutEvents(now, leftAt time.Time, max int) [][]cove.Field {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var events [][]cove.Field
-	for x := range s.exchanges {
-		if len(events) == max {
-			break
-		}
-		fields := []cove.Field{
-			{Name: "id", Value: x.callerID},
-			{Name: "route", Value: string(x.route.Name)},
-			{Name: "stage", Value: stageNames[x.stage.Load()]},
-			{Name: "age", Value: now.Sub(x.started).String()},
-			{Name: "afterStop", Value: x.started.Sub(leftAt).String()},
-			{Name: "left", Value: x.deadline.Sub(now).String()},
-			{Name: "peer", Value: strconv.FormatBool(x.fromPeer)},
-		}
-		if t := x.sentTo.Load(); t != nil {
-			fields = append(fields, cove.Field{Name: "server", Value: string(t.Server)}, cove.Field{Name: "via", Value: string(t.Host)})
-		}
-		events = append(events, fields)
+func (x *exchange) cutFields(stage int32, now, leftAt time.Time) []cove.Field {
+	fields := []cove.Field{
+		{Name: "id", Value: x.callerID},
+		{Name: "route", Value: string(x.route.Name)},
+		{Name: "stage", Value: stageNames[stage]},
+		{Name: "age", Value: now.Sub(x.started).String()},
+		{Name: "afterStop", Value: x.started.Sub(leftAt).String()},
+		{Name: "left", Value: x.deadline.Sub(now).String()},
+		{Name: "peer", Value: strconv.FormatBool(x.fromPeer)},
+	}
+	if t := x.sentTo.Load(); t != nil {
+		fields = append(fields, cove.Field{Name: "server", Value: string(t.Server)}, cove.Field{Name: "via", Value: string(t.Host)})
 	}
-	return events
+	return fields
 }
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -253,16 +253,3 @@
 	}
 	return s.m[name]
 }
-
-// inProgress returns the number of requests in progress by route.
-func (s *routeStatsMap) inProgress() map[cove.RouteName]int64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	out := make(map[cove.RouteName]int64)
-	for name, st := range s.m {
-		if n := st.active.Load(); n > 0 {
-			out[name] = n
-		}
-	}
-	return out
-}
--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -32,7 +32,7 @@
 func (p *Proxy) stopping() bool { return p.phase.Load() >= phaseStopping }
 
 // answerTime is the time to write the last responses before the connections are closed.
-const answerTime = 100 * time.Millisecond
+const answerTime = 200 * time.Millisecond
 
 // lateRetryAfter is when a caller may retry a request that this host takes no more.
 // Another host may serve it at once.
@@ -41,6 +41,10 @@
 // errTooLate refuses requests that would be cut off when this host stops.
 var errTooLate = refuseLate()
 
+// errCutOff answers requests whose response has not begun when this host stops. They may
+// wait in the queue of a server, or run there.
+var errCutOff = refuseUnknown(http.StatusGatewayTimeout, cove.ReasonStopping, "host stopped before the response began")
+
 func refuseLate() *cove.Refusal {
 	r := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host may stop before the request ends")
 	r.RetryAfter = lateRetryAfter
@@ -64,7 +68,7 @@
 // Stop implements cove.Service. It serves requests until none is in progress and
 // none has arrived for QuietTime, but for no longer than MaxQuietWait. Then it
 // refuses new requests and waits for those in progress. If ctx ends first, it
-// refuses those that wait in this host, and aborts and reports the others.
+// ends the others and reports those that had been sent.
 func (p *Proxy) Stop(ctx context.Context) error {
 	p.Leave(ctx)
 	err := p.waitQuiet(ctx)
@@ -76,9 +80,7 @@
 		err = p.closeConns(ctx)
 	}
 	if err != nil {
-		p.progress.interrupt()
-		p.waitAnswers()
-		err = p.abortRequests()
+		err = p.endRequests()
 	}
 	p.pool.closeAll()
 	tctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), taskStopTimeout)
@@ -171,24 +173,33 @@
 	return nil
 }
 
-// waitAnswers waits until the responses that have begun are written, for answerTime at
-// most.
+// waitAnswers waits until no request is in progress, for answerTime at most.
 func (p *Proxy) waitAnswers() {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	for p.progress.answering() {
+	for p.active.Load() > 0 {
 		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
 			return
 		}
 	}
 }
 
-// abortRequests closes all connections and reports the requests in progress.
-func (p *Proxy) abortRequests() error {
-	total := p.active.Load()
-	p.reportCut()
+// endRequests ends the requests in progress: those that wait in this host are refused,
+// those whose response has not begun get a response that promises nothing, and the
+// connections of the others are closed. It reports the requests that had been sent.
+func (p *Proxy) endRequests() error {
+	p.progress.interrupt()
+	now, leftAt := p.Clock.Now(), p.leftAt.Load()
+	if leftAt == nil {
+		leftAt = &now
+	}
+	byRoute, events := p.progress.cut(now, *leftAt)
+	p.waiting.stop()
+	p.waitAnswers()
+	var total int64
 	var fields []cove.Field
-	for name, n := range p.routeStats.inProgress() {
+	for name, n := range byRoute {
+		total += n
 		fields = append(fields, cove.Field{Name: string(name), Value: strconv.FormatInt(n, 10)})
 	}
 	if err := p.server.Close(); err != nil {
@@ -198,18 +209,9 @@
 		return nil
 	}
 	p.Counters.Add("proxy.cutRequests", total)
+	for _, ev := range events {
+		p.Events.Emit("proxy.requestCut", "stopped with the request in progress", ev...)
+	}
 	p.Events.Emit("proxy.requestsCut", "stopped with requests in progress", fields...)
 	return errors.Errorf("%d requests were cut", total)
 }
-
-// reportCut reports each request in progress, so that the log tells which ones a stop
-// has cut and how far they had come.
-func (p *Proxy) reportCut() {
-	now, leftAt := p.Clock.Now(), p.leftAt.Load()
-	if leftAt == nil {
-		leftAt = &now
-	}
-	for _, fields := range p.progress.cutEvents(now, *leftAt, maxCutEvents) {
-		p.Events.Emit("proxy.requestCut", "stopped with the request in progress", fields...)
-	}
-}
--- a/internal/route/proxy/stop_test.go
+++ b/internal/route/proxy/stop_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -193,6 +196,42 @@
 	}
 }
 
+// Guards against requests that end without an answer because they wait in the queue of
+// a server when their host stops.
+func TestRequestQueuedAtServerIsCutAtStop(t *testing.T) {
+	t.Parallel()
+	const callers = 8
+	servers, targets := newServers(t, 1, server.Config{Slots: 1, Queue: callers, ServiceTime: time.Minute})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	var conns []net.Conn
+	for i := range callers {
+		nc := dialRaw(t, h)
+		if _, err := fmt.Fprintf(nc, "POST /open HTTP/1.1\r\nHost: x\r\nX-Request-Id: queued-%d\r\nContent-Length: 0\r\n\r\n", i); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, nc)
+	}
+	waitFor(t, "all requests at the server", func() bool { return h.admit.open.Load() == callers && h.hasSent() })
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if err := h.Stop(ctx); err == nil {
+		t.Error("Stop() reports no cut request")
+	}
+	for i, nc := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			t.Errorf("request %d: %v", i, err)
+			continue
+		}
+		_ = resp.Body.Close()
+		ran := slices.ContainsFunc(servers[0].Runs(), func(r server.Run) bool { return r.RequestID == "queued-"+strconv.Itoa(i) })
+		refused := resp.StatusCode == http.StatusServiceUnavailable && !ran
+		if resp.StatusCode != http.StatusGatewayTimeout && !refused {
+			t.Errorf("request %d: status %d, ran: %v", i, resp.StatusCode, ran)
+		}
+	}
+}
+
 // Guards against a body that arrives slowly during a stop, after which the request is
 // sent too late to end in time.
 func TestRequestWithSlowBodyIsCutAtStop(t *testing.T) {
