Guard the decisions of a request against an attempt that has lost

What callers may have seen: all requests of a host end at once. It was not seen here; it is a race that the detector shows.

Cause: when the first of two concurrent attempts gets its response, the request ends while the second one may still wait for admission. It then adds its placement to the decisions of the request, which recordEnd reads at that moment. If the length is read from one state of the slice and the pointer from the other, the audit log marshals memory that is not there, in a goroutine of its own: that ends the process with all its requests. The span is a few instructions wide for each hedged request.

Before the change, TestRecordOfRequestWithLateAttempt with the race detector: WARNING: DATA RACE Write ... recordStep audit.go:24 Previous read ... recordEnd audit.go:59

Change: a lock in the exchange guards the decisions. What the record holds is never written again: later steps are added behind it.

Looked at as well: the other fields that both attempts use are not written after the first one has been sent, or are words (attempts, contentKey) whose old or new value does no harm.

--- a/internal/route/proxy/audit.go
+++ b/internal/route/proxy/audit.go
@@ -17,10 +17,15 @@
 const reasonServerError cove.Reason = "serverError"
 
 func (p *Proxy) recordStep(x *exchange, s audit.Step) {
-	if p.Audit == nil || len(x.steps) >= maxSteps {
+	if p.Audit == nil {
 		return
 	}
 	s.After = cove.Duration(p.Clock.Now().Sub(x.started))
+	x.stepsMu.Lock()
+	defer x.stepsMu.Unlock()
+	if len(x.steps) >= maxSteps {
+		return
+	}
 	x.steps = append(x.steps, s)
 }
 
@@ -54,9 +59,12 @@
 	if !p.Audit.ShouldLog(x.callerID, reason) {
 		return
 	}
+	x.stepsMu.Lock()
+	steps := x.steps
+	x.stepsMu.Unlock()
 	r := &audit.Record{
 		ID: x.callerID, Status: status, Reason: reason, Detail: detail,
-		Team: x.principal.Team, Steps: x.steps,
+		Team: x.principal.Team, Steps: steps,
 		Took: cove.Duration(p.Clock.Now().Sub(x.started).Round(time.Microsecond)),
 	}
 	if x.route != nil {
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,8 +54,10 @@
 	// mayHaveRun is set when an attempt ended and a backend server may have run
 	// the request.
 	mayHaveRun atomic.Bool
-	// steps holds the decisions about the request for the audit record.
-	steps []audit.Step
+	// steps holds the decisions about the request for the audit record. stepsMu guards
+	// it, as an attempt that has lost may go on while the request ends.
+	stepsMu sync.Mutex
+	steps   []audit.Step
 	// contentKey is the result of content; 0 means that it is not known yet.
 	contentKey uint64
 	// singleAttempt marks a request forwarded by another host, which retries
--- a/internal/route/proxy/hedge_test.go
+++ b/internal/route/proxy/hedge_test.go
@@ -1,9 +1,13 @@
 package proxy
 
 import (
+	"io"
+	"net/http"
+	"sync"
 	"testing"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/audit"
 )
 
 // Guards against a not-run outcome when the later of two concurrent attempts did
@@ -18,3 +22,16 @@
 		}
 	}
 }
+
+// Guards, with the race detector, against an audit record that is read while a second
+// attempt that has lost adds to it: a torn slice would end the process with all its
+// requests.
+func TestRecordOfRequestWithLateAttempt(t *testing.T) {
+	h := newHost(t, "a", nil, Config{})
+	h.Audit = &audit.Log{Out: io.Discard, Clock: h.Clock, Counters: h.meter}
+	x := &exchange{started: h.Clock.Now()}
+	var wg sync.WaitGroup
+	wg.Go(func() { h.recordPlacement(x, &attempt{started: x.started}) })
+	h.recordEnd(x, http.StatusServiceUnavailable, errBusy)
+	wg.Wait()
+}
