Bound what the kernel keeps of connections to callers and servers

Callers saw: on a host of 184 MB, answers that 1,500 callers do not read, bodies that 1,000 servers do not read, or requests sent ahead on 1,000 connections took it beyond its limit within a second, with up to 340 MB received and not read. Such bytes count toward the limit of the process, which is killed with all its requests.

Cause: the kernel sizes the buffers of a connection by itself, up to megabytes.

Change: 16 KB for connections of callers, set on the listening socket, and 32 KB for those to backend servers, in each direction; the kernel takes up to twice as much. The settings are those of the platform; without them nothing changes. A kernel that refuses keeps its bounds.

Not covered: connections between hosts and to the store, which are few. Whether the users' machines honour the option is not known; their windows are small.

--- a/internal/core/dialer/dialer.go
+++ b/internal/core/dialer/dialer.go
@@ -21,6 +21,9 @@
 	// UserTimeout closes a connection whose sent data stays unacknowledged for
 	// this time (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
+	// BufferBytes bounds what the kernel keeps of a connection in each direction; 0
+	// leaves it to the kernel.
+	BufferBytes int
 }
 
 // New returns a dialer that applies t to its connections.
@@ -29,6 +32,9 @@
 		Timeout:         t.Connect,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: t.KeepAliveInterval, Interval: t.KeepAliveInterval, Count: t.KeepAliveCount},
 		Control: func(_, _ string, c syscall.RawConn) error {
+			if err := SetBuffers(c, t.BufferBytes); err != nil {
+				return err
+			}
 			return setUserTimeout(c, t.UserTimeout)
 		},
 	}
@@ -45,3 +51,16 @@
 	}
 	return sockErr
 }
+
+// SetBuffers bounds what the kernel keeps of a connection that is not open yet, or of
+// those that a listening socket accepts, to n bytes in each direction. With 0 it does
+// nothing. A kernel that refuses keeps its own bounds.
+func SetBuffers(c syscall.RawConn, n int) error {
+	if n <= 0 {
+		return nil
+	}
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, n)
+	})
+}
--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -35,6 +35,11 @@
 	MaxConns int
 	// MaxRequests bounds the requests in progress, over all connections.
 	MaxRequests int
+	// CallerBufferBytes and ServerBufferBytes bound what the kernel keeps in each
+	// direction of a connection to a caller or to a backend server, as it counts
+	// toward the memory of the process. 0 leaves it to the kernel.
+	CallerBufferBytes int
+	ServerBufferBytes int
 	// HeaderTimeout bounds the TLS handshake and the time to read a request
 	// header.
 	HeaderTimeout time.Duration
--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -63,12 +63,13 @@
 	peekErr   error
 }
 
-// dial opens a connection. heads counts the headers of all connections.
-func dial(ctx context.Context, timeout time.Duration, addr netip.AddrPort, heads *quota) (*conn, error) {
+// dial opens a connection. heads counts the headers of all connections, buffer bounds
+// what the kernel keeps of it.
+func dial(ctx context.Context, timeout time.Duration, buffer int, addr netip.AddrPort, heads *quota) (*conn, error) {
 	if timeout == 0 {
 		timeout = defaultDialTimeout
 	}
-	d := dialer.New(dialer.Timeouts{Connect: timeout, KeepAliveInterval: keepAliveInterval, KeepAliveCount: keepAliveProbes, UserTimeout: userTimeout})
+	d := dialer.New(dialer.Timeouts{Connect: timeout, KeepAliveInterval: keepAliveInterval, KeepAliveCount: keepAliveProbes, UserTimeout: userTimeout, BufferBytes: buffer})
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
--- a/internal/route/proxy/memory_test.go
+++ b/internal/route/proxy/memory_test.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,3 +66,60 @@
 		})
 	}
 }
+
+// Guards against bytes that arrive and are not read, as the other side does not take
+// them: they count toward the memory of the process, and without a bound the kernel
+// keeps megabytes for each connection.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	const (
+		pairs = 8
+		// unread bounds what a connection takes of 32 MB: the buffers of both
+		// connections, of the test's own ends and of the copy.
+		unread = 512 << 10
+	)
+	var sent atomic.Int64
+	block := strings.Repeat("x", 32<<10)
+	fill := func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetWriteBuffer(16 << 10)
+		for range 32 << 20 / len(block) {
+			n, err := io.WriteString(c, block)
+			if sent.Add(int64(n)); err != nil {
+				return
+			}
+		}
+	}
+	for name, head := range map[string]string{
+		"answers": "GET /open HTTP/1.1\r\nHost: x\r\n\r\n",
+		"bodies":  "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 33554432\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			target := newRawServer(t, "s", func(nc net.Conn, br *bufio.Reader) {
+				r, err := http.ReadRequest(br)
+				if err == nil && r.Method == http.MethodGet {
+					_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n")
+					fill(nc)
+				}
+				<-release
+			})
+			h := newHost(t, "a", nil, smallBuffers, target)
+			t.Cleanup(func() { close(release) })
+			sent.Store(0)
+			for range pairs {
+				c := dialRaw(t, h)
+				_ = c.(*net.TCPConn).SetReadBuffer(16 << 10)
+				_, _ = io.WriteString(c, head)
+				if name == "bodies" {
+					go fill(c)
+				}
+			}
+			time.Sleep(time.Second)
+			if n := sent.Load(); n > pairs*unread {
+				t.Errorf("%d connections take %d bytes that nobody reads, want at most %d each", pairs, n, unread)
+			}
+		})
+	}
+}
+
+// smallBuffers bounds what the kernel keeps of a connection.
+var smallBuffers = Config{CallerBufferBytes: 16 << 10, ServerBufferBytes: 32 << 10}
--- a/internal/route/proxy/pool.go
+++ b/internal/route/proxy/pool.go
@@ -24,6 +24,8 @@
 	now func() time.Time
 	// dialTimeout bounds the opening of a connection; 0 means the default.
 	dialTimeout time.Duration
+	// bufferBytes bounds what the kernel keeps of a connection; 0 leaves it to it.
+	bufferBytes int
 	// heads counts the memory of response headers.
 	heads  quota
 	mu     sync.Mutex
@@ -44,7 +46,7 @@
 		}
 		c.close()
 	}
-	return dial(ctx, p.dialTimeout, addr, &p.heads)
+	return dial(ctx, p.dialTimeout, p.bufferBytes, addr, &p.heads)
 }
 
 func (p *pool) takeIdle(addr netip.AddrPort, maxAge time.Duration) *conn {
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/audit"
+	"turmericcove.org/cove/internal/core/dialer"
 	"turmericcove.org/cove/internal/core/group"
 	"turmericcove.org/cove/internal/route/match"
 	"turmericcove.org/cove/internal/route/retry"
@@ -97,6 +99,7 @@
 	p := &Proxy{Deps: d, cfg: cfg.withDefaults(), localMux: http.NewServeMux(), tasks: group.New(context.Background())}
 	p.pool.now = d.Clock.Now
 	p.pool.dialTimeout = p.cfg.DialTimeout
+	p.pool.bufferBytes = p.cfg.ServerBufferBytes
 	p.retryBudgets.SetConfig(p.cfg.RetryBudget)
 	p.localMux.HandleFunc("POST "+localPrefix+"ticket", p.serveTicket)
 	p.localMux.HandleFunc(localPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoLocalHandler) })
@@ -124,7 +127,9 @@
 // Start implements cove.Service.
 func (p *Proxy) Start(ctx context.Context) error {
 	p.Tables.Watch(p.setTable)
-	var lc net.ListenConfig
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return dialer.SetBuffers(c, p.cfg.CallerBufferBytes)
+	}}
 	ln, err := lc.Listen(ctx, "tcp", p.cfg.Addr.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
