--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -58,6 +58,8 @@
 	ended atomic.Bool
 	// previous is the attempt of the exchange begun before this one.
 	previous *attempt
+	// stopped is set when the host stops before the response has begun.
+	stopped atomic.Bool
 	// connectTime is how long it took to connect, or 0 for a reused connection.
 	connectTime time.Duration
 }
@@ -114,6 +116,7 @@
 	if f.avoid != nil {
 		x.avoid(*f.avoid)
 	}
+	x.stage.CompareAndSwap(stageSent, stageWaiting)
 	return true
 }
 
@@ -126,9 +129,7 @@
 		return nil, f
 	}
 	wait, reason := p.hedgeDelay(x)
-	p.waiting.add(t)
-	resp, err := t.upstream.awaitHead(wait)
-	p.waiting.remove(t)
+	resp, err := t.awaitHead(wait)
 	if errors.Is(err, errNoAnswerYet) {
 		return p.hedge(x, t, reason)
 	}
@@ -169,9 +170,14 @@
 	}
 	// The key may have been withdrawn while the request waited for admission.
 	if ref := t.proxy.recheckKey(t.exchange); ref != nil {
-		t.upstream.finish(false)
-		t.done(cove.AttemptResult{Canceled: true})
-		return &failure{refusal: ref}
+		return t.refuse(ref)
+	}
+	// The body of the request, admission or an earlier attempt may have taken long.
+	if ref := t.proxy.refuseUnfinished(t.exchange); ref != nil {
+		return t.refuse(ref)
+	}
+	if !t.exchange.beginSend(&t.target) {
+		return t.refuse(errTooLate)
 	}
 	t.permit.Sent()
 	if err := t.upstream.send(); err != nil && !t.upstream.wrote() {
@@ -181,6 +187,28 @@
 	return nil
 }
 
+// awaitHead waits for the header of the response like upstream.awaitHead. Meanwhile the
+// attempt can be ended from outside.
+func (t *attempt) awaitHead(wait time.Duration) (*http.Response, error) {
+	t.proxy.waiting.add(t)
+	defer t.proxy.waiting.remove(t)
+	return t.upstream.awaitHead(wait)
+}
+
+// stop ends an attempt that waits for the header of the response, because the host
+// stops.
+func (t *attempt) stop() {
+	t.stopped.Store(true)
+	t.upstream.abort()
+}
+
+// refuse ends an attempt that is not sent.
+func (t *attempt) refuse(r *cove.Refusal) *failure {
+	t.upstream.finish(false)
+	t.done(cove.AttemptResult{Canceled: true})
+	return &failure{refusal: r}
+}
+
 // expectedServer returns the header that names the intended backend server.
 func (t *attempt) expectedServer() field {
 	return field{name: t.proxy.cfg.Dialect.ExpectedServerHeader, value: string(t.target.Server)}
@@ -324,6 +352,10 @@
 		t.upstream.finish(false)
 		return t.connectFailed(err)
 	}
+	if t.stopped.Load() {
+		t.abandon(cove.AttemptResult{Canceled: true})
+		return &failure{refusal: errCutOff}
+	}
 	if t.exchange.body.tooLarge() {
 		t.abandon(cove.AttemptResult{Canceled: true})
 		return &failure{refusal: refuseUnknown(errBodyTooLarge.Status, errBodyTooLarge.Reason, errBodyTooLarge.Detail)}
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -18,11 +18,13 @@
 	// ctx is callerCtx, or its detached form once a keyed request runs.
 	ctx       *deadlineContext
 	callerCtx deadlineContext
-	w         http.ResponseWriter
-	r         *http.Request
-	table     *compiledTable
-	route     *cove.Route
-	stats     *routeStats
+	// waitCtx is ctx, for other goroutines.
+	waitCtx atomic.Pointer[deadlineContext]
+	w       http.ResponseWriter
+	r       *http.Request
+	table   *compiledTable
+	route   *cove.Route
+	stats   *routeStats
 	// started is the time at which the request arrived.
 	started  time.Time
 	deadline time.Time
@@ -51,11 +53,17 @@
 	reserved int64
 	// attempts is the number of attempts begun.
 	attempts int
+	// stage is how far the request has come.
+	stage atomic.Int32
+	// sentTo is the target of the last attempt that was sent; nil if there is none.
+	sentTo atomic.Pointer[cove.Target]
 	// mayHaveRun is set when an attempt ended and a backend server may have run
 	// the request.
 	mayHaveRun atomic.Bool
-	// steps holds the decisions about the request for the audit record.
-	steps []audit.Step
+	// steps holds the decisions about the request for the audit record. stepsMu guards
+	// it, as an attempt that has lost may go on while the request ends.
+	stepsMu sync.Mutex
+	steps   []audit.Step
 	// contentKey is the result of content; 0 means that it is not known yet.
 	contentKey uint64
 	// singleAttempt marks a request forwarded by another host, which retries
@@ -91,6 +99,7 @@
 
 // endExchange releases the resources of the exchange.
 func (p *Proxy) endExchange(x *exchange) {
+	p.progress.remove(x)
 	p.keyedMemory.release(x.reserved)
 	x.body.release()
 	if x.ctx != nil {
@@ -111,10 +120,17 @@
 	return true
 }
 
-// finalRefusal corrects the outcome of the refusal sent to the caller: if any
-// attempt may have run, the outcome of the whole request is unknown.
+// finalRefusal corrects the refusal sent to the caller: if any attempt may have run,
+// the outcome of the whole request is unknown. A request that was interrupted may be
+// sent to another host.
 func (x *exchange) finalRefusal(r *cove.Refusal) *cove.Refusal {
-	if r.Outcome == cove.Unknown || !x.mayHaveRun.Load() {
+	if r.Outcome == cove.Unknown {
+		return r
+	}
+	if !x.mayHaveRun.Load() {
+		if x.stage.Load() == stageInterrupted {
+			return errTooLate
+		}
 		return r
 	}
 	c := *r
@@ -125,7 +141,12 @@
 // setDeadline starts the context of the exchange, which ends after left.
 func (x *exchange) setDeadline(left time.Duration) {
 	x.callerCtx.init(x.r.Context(), left)
-	x.ctx = &x.callerCtx
+	x.setContext(&x.callerCtx)
+}
+
+func (x *exchange) setContext(ctx *deadlineContext) {
+	x.ctx = ctx
+	x.waitCtx.Store(ctx)
 }
 
 // closeIfUnread makes the response close the caller's connection when part of
@@ -143,6 +164,16 @@
 	x.w.WriteHeader(status)
 }
 
+// beginSend records that the request is sent to a target, and reports whether it may
+// be: not after it has been interrupted.
+func (x *exchange) beginSend(t *cove.Target) bool {
+	if !x.stage.CompareAndSwap(stageWaiting, stageSent) && x.stage.Load() == stageInterrupted {
+		return false
+	}
+	x.sentTo.Store(t)
+	return true
+}
+
 // remaining returns the time until the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration {
 	return x.deadline.Sub(now)
@@ -169,6 +200,15 @@
 	block uint64
 	// proto is the scheme that the caller uses.
 	proto string
+	// heads reserves the memory of headers; nil for HTTP/2 over TLS.
+	heads *headReserve
+}
+
+// endRequest releases what the header of r has reserved.
+func (c *caller) endRequest(r *http.Request) {
+	if c.heads != nil && r.ProtoMajor == 1 {
+		c.heads.release()
+	}
 }
 
 type callerKey struct{}
