Bound the wait for the body of a request that another host passes on

What callers may have seen: a host that stops after another one has frozen in the middle of a body waits for that request for its whole grace, reports it as cut, and holds its place among the requests in progress until then.

Cause: the read deadline of a body was set for callers only (prepare), not for requests of other hosts (prepareHop). A frozen process neither sends the rest nor cancels the stream, and its kernel keeps the connection alive.

Before the change, TestBodyOfSilentHostIsNotAwaitedBeyondDeadline, on both paths between hosts, with a deadline of 200 ms: no response within 20 s (test timed out).

Change: setDeadline sets the deadline of the body for both. The sender gets 408, as not run, if none of the body has been passed on; its own deadline has passed by then.

--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -119,10 +119,14 @@
 	return &c
 }
 
-// setDeadline starts the context of the exchange, which ends after left.
+// setDeadline starts the context of the exchange, which ends after left. Reads of the
+// body fail from then on, as its sender may be slow or have stopped.
 func (x *exchange) setDeadline(left time.Duration) {
 	x.callerCtx.init(x.r.Context(), left)
 	x.ctx = &x.callerCtx
+	if x.r.ContentLength != 0 {
+		_ = http.NewResponseController(x.w).SetReadDeadline(x.callerCtx.deadline)
+	}
 }
 
 // closeIfUnread makes the response close the caller's connection when part of
--- a/internal/route/proxy/hop_test.go
+++ b/internal/route/proxy/hop_test.go
@@ -402,3 +402,35 @@
 		}
 	}
 }
+
+// Guards against a request of a host that has stopped responding in the middle of the
+// body, which this host keeps beyond its deadline and waits for when it stops.
+func TestBodyOfSilentHostIsNotAwaitedBeyondDeadline(t *testing.T) {
+	t.Parallel()
+	_, targets := newServers(t, 1, server.Config{})
+	fleet := newFakeFleet()
+	h := newHost(t, "b", fleet, Config{}, targets...)
+	for _, path := range []string{forwardPath, ownerPath} {
+		pr, pw := io.Pipe()
+		req, err := http.NewRequest(http.MethodPost, fleet.url["b"]+path, pr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := &exchange{method: http.MethodPost, uri: "/open", host: "x", id: "1", route: &cove.Route{Name: "open"}, attempts: 1, deadline: h.Clock.Now().Add(200 * time.Millisecond)}
+		h.setHopHeaders(req.Header, x)
+		req.Header.Set(hopPool, "main")
+		req.Header.Set(headerIdempotencyKey, "k")
+		req.ContentLength = 4
+		go func() { _, _ = io.WriteString(pw, "ab") }()
+		begun := time.Now()
+		resp, err := fleet.client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if d := time.Since(begun); resp.StatusCode != http.StatusRequestTimeout || d > 2*time.Second {
+			t.Errorf("%s: status %d after %v", path, resp.StatusCode, d)
+		}
+		_ = pw.Close()
+	}
+}
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -262,10 +262,6 @@
 func (p *Proxy) prepare(x *exchange, from *caller) {
 	left := x.remaining(p.Clock.Now())
 	x.setDeadline(left)
-	if x.r.ContentLength != 0 {
-		// Limits callers that send their body slowly.
-		_ = http.NewResponseController(x.w).SetReadDeadline(x.callerCtx.deadline)
-	}
 	if left > writeTimeout/2 {
 		_ = http.NewResponseController(x.w).SetWriteDeadline(x.callerCtx.deadline.Add(writeTimeout))
 	}
