Derive the limits of connections and requests from memory and descriptors

Callers saw: on a host with 4,100 descriptors, of which 200 are for files, 3,500 callers that do not read answers of 30 KB left no descriptor for connections to servers: of 90 requests of 30 sound callers none was served, 30 got 503 and 60 no answer in 5 s. And 1,500 answers without end that are not read took 125 MB resident and 65 MB unread of 184 MB, over the limit.

Cause: 4,096 connections of callers and 2,048 requests in progress were constants, above what a small machine has. Idle connections to servers were bounded for each server (64), not for all 639.

Change: with memoryMb and maxFds of the settings, connections take 15% of the memory at 16 KB each and at most half of the descriptors beyond 200; requests 45% of the memory at 160 KB, 20% of the descriptors; headers of callers and of responses 6% each; bodies of keyed requests 10%; idle connections to servers 20% of the descriptors. 184 MB and 4,100: 1,766 connections, 529 requests, 780 idle. Without these settings the limits are as before. The site sends 22 requests a second to a host in the mean, some 70 in progress at a time. Beyond the limit a request is refused at once as not run (503, hostLimit), as before.

Weighed: one account of bytes for everything that a host holds needs a call at each place that allocates; a number of requests, each with a known most, is a bound without one.

TestLimitsFitTheProcess checks the sums for the sizes of the known machines and for a very small and a large one. It can't be built before the change.

--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -29,8 +29,17 @@
 	// with an idempotency key that are in progress.
 	MaxKeyedTotal int64
 	// MaxHeadersTotal bounds the memory of the headers of all callers, from their
-	// arrival to the end of their requests, beyond the first 4 KB of each.
+	// arrival to the end of their requests, beyond the first 4 KB of each; and that
+	// of the headers of all responses.
 	MaxHeadersTotal int64
+	// MemoryBytes is the memory that the process may use, MaxDescriptors the number
+	// of files and connections that it may have open; 0 means that it is not known.
+	// The limits of connections, requests, headers and bodies follow from them where
+	// they are not set.
+	MemoryBytes    int64
+	MaxDescriptors int
+	// MaxIdleServerConns bounds the idle connections to all backend servers.
+	MaxIdleServerConns int
 	// MaxConns bounds the open connections of callers.
 	MaxConns int
 	// MaxRequests bounds the requests in progress, over all connections.
@@ -71,10 +80,7 @@
 	setDefault(&c.MaxBodyBytes, 64<<20)
 	setDefault(&c.MaxAnswerBytes, 256<<20)
 	setDefault(&c.MaxKeyedBytes, 1<<20)
-	setDefault(&c.MaxKeyedTotal, 64<<20)
-	setDefault(&c.MaxHeadersTotal, 16<<20)
-	setDefault(&c.MaxConns, 4096)
-	setDefault(&c.MaxRequests, 2048)
+	c.setLimits()
 	setDefault(&c.HeaderTimeout, 5*time.Second)
 	setDefault(&c.IdleTimeout, 90*time.Second)
 	setDefault(&c.DefaultDeadline, 10*time.Second)
--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -63,18 +63,17 @@
 	peekErr   error
 }
 
-// dial opens a connection. heads counts the headers of all connections, buffer bounds
-// what the kernel keeps of it.
-func dial(ctx context.Context, timeout time.Duration, buffer int, addr netip.AddrPort, heads *quota) (*conn, error) {
-	if timeout == 0 {
-		timeout = defaultDialTimeout
-	}
-	d := dialer.New(dialer.Timeouts{Connect: timeout, KeepAliveInterval: keepAliveInterval, KeepAliveCount: keepAliveProbes, UserTimeout: userTimeout, BufferBytes: buffer})
+// dial opens a connection.
+func (p *pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	timeout, maxHeads := p.dialTimeout, p.maxHeads
+	setDefault(&timeout, defaultDialTimeout)
+	setDefault(&maxHeads, maxAnswerHeadersTotal)
+	d := dialer.New(dialer.Timeouts{Connect: timeout, KeepAliveInterval: keepAliveInterval, KeepAliveCount: keepAliveProbes, UserTimeout: userTimeout, BufferBytes: p.bufferBytes})
 	nc, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to backend server")
 	}
-	c := &conn{nc: nc, addr: addr, maxIdle: maxIdleTime, head: headLimit{total: heads}}
+	c := &conn{nc: nc, addr: addr, maxIdle: maxIdleTime, head: headLimit{total: &p.heads, max: maxHeads}}
 	c.closeFunc = c.close
 	c.peekFunc = c.peek
 	c.br = bufio.NewReaderSize((*connReader)(c), connBufferSize)
--- a/internal/route/proxy/crash.go
+++ b/internal/route/proxy/crash.go
@@ -72,7 +72,7 @@
 	}
 	target := t.target
 	check := func(ctx context.Context) error {
-		c, err := dial(ctx, p.cfg.DialTimeout, p.cfg.ServerBufferBytes, target.Addr, &p.pool.heads)
+		c, err := p.pool.dial(ctx, target.Addr)
 		switch {
 		case err == nil:
 			c.close()
--- a/internal/route/proxy/headlimit.go
+++ b/internal/route/proxy/headlimit.go
@@ -14,7 +14,8 @@
 	// unsharedHeaderBytes is the part of a header that does not count toward
 	// maxAnswerHeadersTotal, so that short headers pass while others fill it.
 	unsharedHeaderBytes = 4 << 10
-	// maxAnswerHeadersTotal bounds the memory of the headers of all responses.
+	// maxAnswerHeadersTotal bounds the memory of the headers of all responses, unless
+	// another limit is set.
 	maxAnswerHeadersTotal = 16 << 20
 )
 
@@ -28,6 +29,8 @@
 type headLimit struct {
 	// total counts the headers of all connections.
 	total *quota
+	// max bounds total.
+	max int64
 	// active is set while a header is read.
 	active bool
 	// read is the memory of the current header, last that of the part read last.
@@ -63,7 +66,7 @@
 	if n <= 0 {
 		return nil
 	}
-	if !l.total.reserve(n, maxAnswerHeadersTotal) {
+	if !l.total.reserve(n, l.max) {
 		return errAnswerHeadersTooLarge
 	}
 	l.reserved += n
--- a/internal/route/proxy/memory_test.go
+++ b/internal/route/proxy/memory_test.go
@@ -123,3 +123,29 @@
 
 // smallBuffers bounds what the kernel keeps of a connection.
 var smallBuffers = Config{CallerBufferBytes: 16 << 10, ServerBufferBytes: 32 << 10}
+
+// Guards against limits that together exceed the memory or the descriptors of the
+// process: callers' connections took all descriptors, so that no backend server could
+// be reached.
+func TestLimitsFitTheProcess(t *testing.T) {
+	for _, p := range []struct {
+		megabytes   int64
+		descriptors int
+	}{{184, 4100}, {284, 4100}, {536, 8192}, {64, 256}, {4096, 1 << 20}} {
+		c := Config{MemoryBytes: p.megabytes << 20, MaxDescriptors: p.descriptors}.withDefaults()
+		total := int64(c.MaxConns)*connBytes + int64(c.MaxRequests)*requestBytes + 2*c.MaxHeadersTotal + c.MaxKeyedTotal
+		if most := c.MemoryBytes * 85 / 100; total > most {
+			t.Errorf("%v: limits of %d bytes, want at most %d", p, total, most)
+		}
+		if n := c.MaxConns + c.MaxRequests + c.MaxIdleServerConns; n > p.descriptors*9/10 {
+			t.Errorf("%v: limits of %d connections", p, n)
+		}
+		if c.MaxConns < 16 || c.MaxRequests < 16 {
+			t.Errorf("%v: %d connections, %d requests", p, c.MaxConns, c.MaxRequests)
+		}
+	}
+	c := Config{}.withDefaults()
+	if c.MaxConns != defaultConns || c.MaxRequests != defaultRequests {
+		t.Errorf("unknown process: %d connections, %d requests", c.MaxConns, c.MaxRequests)
+	}
+}
--- a/internal/route/proxy/pool.go
+++ b/internal/route/proxy/pool.go
@@ -26,11 +26,17 @@
 	dialTimeout time.Duration
 	// bufferBytes bounds what the kernel keeps of a connection; 0 leaves it to it.
 	bufferBytes int
-	// heads counts the memory of response headers.
-	heads  quota
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*conn
-	closed bool
+	// heads counts the memory of response headers, up to maxHeads; 0 means the
+	// default.
+	heads    quota
+	maxHeads int64
+	// maxIdle bounds the idle connections to all servers; 0 means no bound.
+	maxIdle int
+	mu      sync.Mutex
+	idle    map[netip.AddrPort][]*conn
+	// idleCount is the number of idle connections.
+	idleCount int
+	closed    bool
 }
 
 // get returns an idle connection that was last used within maxAge, or a new one.
@@ -46,7 +52,7 @@
 		}
 		c.close()
 	}
-	return dial(ctx, p.dialTimeout, p.bufferBytes, addr, &p.heads)
+	return p.dial(ctx, addr)
 }
 
 func (p *pool) takeIdle(addr netip.AddrPort, maxAge time.Duration) *conn {
@@ -63,6 +69,7 @@
 	}
 	list[len(list)-1] = nil
 	p.idle[addr] = list[:len(list)-1]
+	p.idleCount--
 	return c
 }
 
@@ -70,12 +77,13 @@
 func (p *pool) put(c *conn) {
 	c.lastUsed = p.now()
 	p.mu.Lock()
-	full := p.closed || len(p.idle[c.addr]) >= maxIdleConns
+	full := p.closed || len(p.idle[c.addr]) >= maxIdleConns || p.maxIdle > 0 && p.idleCount >= p.maxIdle
 	if !full {
 		if p.idle == nil {
 			p.idle = make(map[netip.AddrPort][]*conn)
 		}
 		p.idle[c.addr] = append(p.idle[c.addr], c)
+		p.idleCount++
 	}
 	p.mu.Unlock()
 	if full {
@@ -106,6 +114,7 @@
 			p.idle[addr] = kept
 		}
 	}
+	p.idleCount -= len(drop)
 	p.mu.Unlock()
 	for _, c := range drop {
 		c.close()
@@ -116,7 +125,7 @@
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle, p.idleCount, p.closed = nil, 0, true
 	p.mu.Unlock()
 	for _, list := range idle {
 		for _, c := range list {
--- a/internal/route/proxy/pool_test.go
+++ b/internal/route/proxy/pool_test.go
@@ -74,4 +74,12 @@
 	if len(p.idle) > 0 || old.usable() {
 		t.Error("an idle connection was not closed")
 	}
+	// All servers together may have one idle connection.
+	p.maxIdle = 1
+	kept, extra := get(0), get(0)
+	p.put(kept)
+	p.put(extra)
+	if p.idleCount != 1 || !kept.usable() || extra.usable() {
+		t.Errorf("%d idle connections, want 1", p.idleCount)
+	}
 }
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -100,6 +100,8 @@
 	p.pool.now = d.Clock.Now
 	p.pool.dialTimeout = p.cfg.DialTimeout
 	p.pool.bufferBytes = p.cfg.ServerBufferBytes
+	p.pool.maxHeads = p.cfg.MaxHeadersTotal
+	p.pool.maxIdle = p.cfg.MaxIdleServerConns
 	p.retryBudgets.SetConfig(p.cfg.RetryBudget)
 	p.localMux.HandleFunc("POST "+localPrefix+"ticket", p.serveTicket)
 	p.localMux.HandleFunc(localPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoLocalHandler) })
