--- a/cmd/covebench/main.go
+++ b/cmd/covebench/main.go
@@ -24,6 +24,7 @@
 	Run      runCmd      `cmd:"" help:"Run a case: a built-in one or a case file."`
 	Compare  compareCmd  `cmd:"" help:"Print reports side by side."`
 	Fuzz     fuzzCmd     `cmd:"" help:"Run random cases and print the shortest one that breaks a guarantee."`
+	Soak     soakCmd     `cmd:"" help:"Run entry hosts as processes under planned stops and check that no request is lost."`
 	Cases    casesCmd    `cmd:"" help:"List the built-in cases."`
 	Platform platformCmd `cmd:"" help:"Run the stand-in of the platform."`
 	Backend  backendCmd  `cmd:"" help:"Run the stand-in of a backend server."`
