--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/audit"
+	"turmericcove.org/cove/internal/core/dialer"
 	"turmericcove.org/cove/internal/core/group"
 	"turmericcove.org/cove/internal/route/match"
 	"turmericcove.org/cove/internal/route/retry"
@@ -59,17 +61,25 @@
 	pool         pool
 	retryBudgets retry.Budgets
 	waiting      waitingAttempts
+	progress     inProgress
+	conns        callerConns
 	// keyedMemory bounds the memory held by requests with an idempotency key.
 	keyedMemory quota
+	// callerHeads bounds the memory of the headers of callers.
+	callerHeads quota
 	routeStats  routeStatsMap
 	tasks       *group.Group
 
 	server   *http.Server
 	listener net.Listener
+	// acceptEnded is closed when no more connections are accepted.
+	acceptEnded chan struct{}
 
 	active   atomic.Int64
 	arrivals atomic.Int64
 	phase    atomic.Int32
+	// leftAt is when the host began to leave; nil before.
+	leftAt atomic.Pointer[time.Time]
 	// stopBy is when the requests in progress are cut off; nil if that is not known.
 	stopBy atomic.Pointer[time.Time]
 }
@@ -92,6 +102,7 @@
 	p := &Proxy{Deps: d, cfg: cfg.withDefaults(), localMux: http.NewServeMux(), tasks: group.New(context.Background())}
 	p.pool.now = d.Clock.Now
 	p.pool.dialTimeout = p.cfg.DialTimeout
+	p.pool.bufferBytes = p.cfg.ServerBufferBytes
 	p.retryBudgets.SetConfig(p.cfg.RetryBudget)
 	p.localMux.HandleFunc("POST "+localPrefix+"ticket", p.serveTicket)
 	p.localMux.HandleFunc(localPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoLocalHandler) })
@@ -119,13 +130,16 @@
 // Start implements cove.Service.
 func (p *Proxy) Start(ctx context.Context) error {
 	p.Tables.Watch(p.setTable)
-	var lc net.ListenConfig
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return dialer.SetBuffers(c, p.cfg.CallerBufferBytes)
+	}}
 	ln, err := lc.Listen(ctx, "tcp", p.cfg.Addr.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	p.listener = ln
 	p.server = p.newServer()
+	p.acceptEnded = make(chan struct{})
 	p.tasks.Go(p.sweep)
 	p.tasks.Go(func(context.Context) error { return p.accept(ln) })
 	return nil
@@ -135,16 +149,18 @@
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
 func (p *Proxy) accept(ln net.Listener) error {
-	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), plain: p.cfg.TLS == nil, onFull: func() {
+	defer close(p.acceptEnded)
+	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), onFull: func() {
 		p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1)
 	}}
 	if p.cfg.TLS != nil {
-		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks)
+		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks, func(c net.Conn) net.Conn { return p.guardConn(c, true) })
 	} else {
+		bounded.wrap = func(c net.Conn) net.Conn { return p.guardConn(c, false) }
 		ln = bounded
 	}
 	err := p.server.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || p.stopping() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	p.Events.Emit("proxy.acceptFailed", err.Error())
@@ -242,16 +258,3 @@
 	}
 	return s.m[name]
 }
-
-// inProgress returns the number of requests in progress by route.
-func (s *routeStatsMap) inProgress() map[cove.RouteName]int64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	out := make(map[cove.RouteName]int64)
-	for name, st := range s.m {
-		if n := st.active.Load(); n > 0 {
-			out[name] = n
-		}
-	}
-	return out
-}
--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -31,9 +31,8 @@
 func (p *Proxy) leaving() bool  { return p.phase.Load() >= phaseLeaving }
 func (p *Proxy) stopping() bool { return p.phase.Load() >= phaseStopping }
 
-// finishFactor is the multiple of a route's P95 latency that a leaving host must have
-// left to take a request.
-const finishFactor = 1.5
+// answerTime is the time to write the last responses before the connections are closed.
+const answerTime = 200 * time.Millisecond
 
 // lateRetryAfter is when a caller may retry a request that this host takes no more.
 // Another host may serve it at once.
@@ -42,20 +41,26 @@
 // errTooLate refuses requests that would be cut off when this host stops.
 var errTooLate = refuseLate()
 
+// errCutOff answers requests whose response has not begun when this host stops. They may
+// wait in the queue of a server, or run there.
+var errCutOff = refuseUnknown(http.StatusGatewayTimeout, cove.ReasonStopping, "host stopped before the response began")
+
 func refuseLate() *cove.Refusal {
-	r := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host stops before the request is likely to end")
+	r := cove.Refuse(http.StatusServiceUnavailable, cove.ReasonStopping, "host may stop before the request ends")
 	r.RetryAfter = lateRetryAfter
 	return r
 }
 
 // Leave makes responses close the callers' connections, so that callers
-// reconnect to other hosts. Requests are still served, unless they are likely to
-// take longer than the deadline of ctx allows.
+// reconnect to other hosts. Requests are still served if their deadlines are before
+// that of ctx.
 func (p *Proxy) Leave(ctx context.Context) {
 	if end, ok := ctx.Deadline(); ok {
 		p.stopBy.Store(&end)
 	}
 	if p.phase.CompareAndSwap(phaseServing, phaseLeaving) {
+		now := p.Clock.Now()
+		p.leftAt.Store(&now)
 		p.Events.Emit("proxy.leaving", "stop requested")
 	}
 }
@@ -63,7 +68,7 @@
 // Stop implements cove.Service. It serves requests until none is in progress and
 // none has arrived for QuietTime, but for no longer than MaxQuietWait. Then it
 // refuses new requests and waits for those in progress. If ctx ends first, it
-// aborts the remaining requests and reports them.
+// ends the others and reports those that had been sent.
 func (p *Proxy) Stop(ctx context.Context) error {
 	p.Leave(ctx)
 	err := p.waitQuiet(ctx)
@@ -72,10 +77,10 @@
 		err = p.waitIdle(ctx)
 	}
 	if err == nil {
-		err = p.server.Shutdown(ctx)
+		err = p.closeConns(ctx)
 	}
 	if err != nil {
-		err = p.abortRequests()
+		err = p.endRequests()
 	}
 	p.pool.closeAll()
 	tctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), taskStopTimeout)
@@ -90,19 +95,15 @@
 // QuietTime. As callers may keep sending, it waits for at most MaxQuietWait or
 // half of the time until the deadline of ctx.
 func (p *Proxy) waitQuiet(ctx context.Context) error {
-	last := p.arrivals.Load()
-	since := p.Clock.Now()
 	limit := p.cfg.MaxQuietWait
 	if d, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(d)/2)
 	}
-	end := since.Add(limit)
+	end := p.Clock.Now().Add(limit)
+	var q quietTimer
 	for {
 		now := p.Clock.Now()
-		if n := p.arrivals.Load(); n != last || p.active.Load() > 0 {
-			last, since = n, now
-		}
-		if now.Sub(since) >= p.cfg.QuietTime || !now.Before(end) {
+		if q.poll(now, p.arrivals.Load(), p.active.Load()) >= p.cfg.QuietTime || !now.Before(end) {
 			return nil
 		}
 		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
@@ -111,22 +112,55 @@
 	}
 }
 
-// refuseUnfinished returns a refusal if this host is about to stop before the request
-// is likely to have ended. While the latency of the route is not known, it may take
-// until its deadline.
+// quietTimer measures how long no request has been in progress or arrived. The zero
+// value is ready to use.
+type quietTimer struct {
+	polled   time.Time
+	arrivals int64
+	quiet    time.Duration
+}
+
+// poll is called every pollInterval. Time in which it was not called counts as one
+// interval, because a process that did not run has not seen what arrived.
+func (q *quietTimer) poll(now time.Time, arrivals, active int64) time.Duration {
+	if q.polled.IsZero() || arrivals != q.arrivals || active > 0 {
+		q.quiet = 0
+	} else {
+		q.quiet += min(now.Sub(q.polled), 2*pollInterval)
+	}
+	q.polled, q.arrivals = now, arrivals
+	return q.quiet
+}
+
+// refuseUnfinished returns a refusal if this host may stop before the request ends. How
+// long requests take as a rule does not count: a response that is late by chance would
+// be cut off, and callers have other hosts.
 func (p *Proxy) refuseUnfinished(x *exchange) *cove.Refusal {
 	end := p.stopBy.Load()
-	if end == nil {
+	if end == nil || time.Until(*end) >= x.remaining(p.Clock.Now())+answerTime {
 		return nil
 	}
-	needed := x.remaining(p.Clock.Now())
-	if p95, ok := x.stats.latency.P95(); ok {
-		needed = min(needed, time.Duration(finishFactor*float64(p95)))
+	return errTooLate
+}
+
+// closeConns closes the listener and the connections without a request. From its begin
+// http.Server.Shutdown drops the HTTP/1 requests that it reads, so it is called only
+// when there are HTTP/2 connections alone, which it tells that this host stops.
+func (p *Proxy) closeConns(ctx context.Context) error {
+	if err := p.listener.Close(); err != nil {
+		return errors.Wrap(err, "stop listening for callers")
 	}
-	if time.Until(*end) >= needed {
-		return nil
+	<-p.acceptEnded
+	// The connections accepted last may still send their requests, to be refused.
+	if err := p.Clock.Sleep(ctx, answerTime); err != nil {
+		return err
 	}
-	return errTooLate
+	for p.conns.expire() > 0 {
+		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	return p.server.Shutdown(ctx)
 }
 
 // waitIdle waits until no request is in progress.
@@ -139,11 +173,33 @@
 	return nil
 }
 
-// abortRequests closes all connections and reports the requests in progress.
-func (p *Proxy) abortRequests() error {
-	total := p.active.Load()
+// waitAnswers waits until no request is in progress, for answerTime at most.
+func (p *Proxy) waitAnswers() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	for p.active.Load() > 0 {
+		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
+			return
+		}
+	}
+}
+
+// endRequests ends the requests in progress: those that wait in this host are refused,
+// those whose response has not begun get a response that promises nothing, and the
+// connections of the others are closed. It reports the requests that had been sent.
+func (p *Proxy) endRequests() error {
+	p.progress.interrupt()
+	now, leftAt := p.Clock.Now(), p.leftAt.Load()
+	if leftAt == nil {
+		leftAt = &now
+	}
+	byRoute, events := p.progress.cut(now, *leftAt)
+	p.waiting.stop()
+	p.waitAnswers()
+	var total int64
 	var fields []cove.Field
-	for name, n := range p.routeStats.inProgress() {
+	for name, n := range byRoute {
+		total += n
 		fields = append(fields, cove.Field{Name: string(name), Value: strconv.FormatInt(n, 10)})
 	}
 	if err := p.server.Close(); err != nil {
@@ -153,6 +209,9 @@
 		return nil
 	}
 	p.Counters.Add("proxy.cutRequests", total)
+	for _, ev := range events {
+		p.Events.Emit("proxy.requestCut", "stopped with the request in progress", ev...)
+	}
 	p.Events.Emit("proxy.requestsCut", "stopped with requests in progress", fields...)
 	return errors.Errorf("%d requests were cut", total)
 }
