Wait for the last responses until net/http has sent them

net/http sends the end of a response after the handler has returned. A stop counted requests by their handlers and could close the connections in between, so that the 503 or 504 written last did not reach its caller.

--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -173,11 +173,13 @@
 	return nil
 }
 
-// waitAnswers waits until no request is in progress, for answerTime at most.
+// waitAnswers waits until no request is in progress and the responses have been sent,
+// for answerTime at most.
 func (p *Proxy) waitAnswers() {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	for p.active.Load() > 0 {
+	// net/http sends the end of a response after the handler has returned.
+	for p.active.Load() > 0 || p.conns.serving() {
 		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
 			return
 		}
