Stop listening before the last responses of a stop are written

Callers: a request that came in the last 0.2 s of a stop was read and ended without an answer when the host closed all connections.

Cause: only a stop that ended in time closed the listener and the idle connections before it waited for the last responses. One that ran out of time took connections and requests until it closed all of them.

Change: both ways close the listener first; while the last responses are written, connections without a request read no further one and are closed unread.

No test: the request has to be read in the moment of the close.

--- a/internal/route/proxy/conns.go
+++ b/internal/route/proxy/conns.go
@@ -33,19 +33,6 @@
 	}
 }
 
-// serving reports whether a request is in progress on any connection, including the
-// end of its response that the handler has left to net/http.
-func (s *callerConns) serving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, state := range s.states {
-		if state == http.StateActive && !c.http2.Load() {
-			return true
-		}
-	}
-	return false
-}
-
 // expire makes the connections without a request fail to read, so that the server
 // closes them, and returns how many are open. A request that has been read is served.
 func (s *callerConns) expire() int {
--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -147,10 +147,7 @@
 // http.Server.Shutdown drops the HTTP/1 requests that it reads, so it is called only
 // when there are HTTP/2 connections alone, which it tells that this host stops.
 func (p *Proxy) closeConns(ctx context.Context) error {
-	if err := p.listener.Close(); err != nil {
-		return errors.Wrap(err, "stop listening for callers")
-	}
-	<-p.acceptEnded
+	p.stopListening()
 	// The connections accepted last may still send their requests, to be refused.
 	if err := p.Clock.Sleep(ctx, answerTime); err != nil {
 		return err
@@ -163,6 +160,13 @@
 	return p.server.Shutdown(ctx)
 }
 
+// stopListening closes the listener and waits until no more connections are accepted.
+func (p *Proxy) stopListening() {
+	// The only error is that it is closed already.
+	_ = p.listener.Close()
+	<-p.acceptEnded
+}
+
 // waitIdle waits until no request is in progress.
 func (p *Proxy) waitIdle(ctx context.Context) error {
 	for p.active.Load() > 0 {
@@ -173,13 +177,12 @@
 	return nil
 }
 
-// waitAnswers waits until no request is in progress and the responses have been sent,
-// for answerTime at most.
+// waitAnswers waits until no request is in progress and all HTTP/1 connections are
+// closed, for answerTime at most. Connections without a request read no further one.
 func (p *Proxy) waitAnswers() {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	// net/http sends the end of a response after the handler has returned.
-	for p.active.Load() > 0 || p.conns.serving() {
+	for p.conns.expire() > 0 || p.active.Load() > 0 {
 		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
 			return
 		}
@@ -190,6 +193,7 @@
 // those whose response has not begun get a response that promises nothing, and the
 // connections of the others are closed. It reports the requests that had been sent.
 func (p *Proxy) endRequests() error {
+	p.stopListening()
 	p.progress.interrupt()
 	now, leftAt := p.Clock.Now(), p.leftAt.Load()
 	if leftAt == nil {
