--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -3,11 +3,27 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
+// panicHandler is set by HandlePanics.
+var panicHandler atomic.Pointer[func(v any, stack []byte)]
+
+// HandlePanics sets the function that is called after a panic in a goroutine of any
+// group, with its value and stack. Only that goroutine ends then. Without a function
+// (nil) a panic ends the process.
+func HandlePanics(fn func(v any, stack []byte)) {
+	if fn == nil {
+		panicHandler.Store(nil)
+		return
+	}
+	panicHandler.Store(&fn)
+}
+
 // Group runs goroutines under one context. The zero value is ready to use and
 // runs them under the background context.
 type Group struct {
@@ -43,12 +59,22 @@
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
+		// A panic that is not recovered prints the stack of its cause.
+		if handle := panicHandler.Load(); handle != nil {
+			defer recoverPanic(*handle)
+		}
 		if err := fn(ctx); err != nil && !errors.Is(err, context.Canceled) {
 			g.fail(err)
 		}
 	}()
 }
 
+func recoverPanic(handle func(v any, stack []byte)) {
+	if v := recover(); v != nil {
+		handle(v, debug.Stack())
+	}
+}
+
 func (g *Group) fail(err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/core/group/group_test.go
+++ b/internal/core/group/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,3 +39,27 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a panic that cancels the other goroutines of a group, on which
+// requests in progress may depend, and against a Wait that never returns after it.
+func TestPanicEndsOnlyItsGoroutine(t *testing.T) {
+	type report struct {
+		v     any
+		stack string
+	}
+	reports := make(chan report, 1)
+	HandlePanics(func(v any, stack []byte) { reports <- report{v, string(stack)} })
+	t.Cleanup(func() { HandlePanics(nil) })
+	var g Group
+	g.Go(func(context.Context) error { panic("test of panics") })
+	got := <-reports
+	if got.v != "test of panics" || !strings.Contains(got.stack, "TestPanicEndsOnlyItsGoroutine") {
+		t.Errorf("handler got %v, %s", got.v, got.stack)
+	}
+	if err := g.Context().Err(); err != nil {
+		t.Errorf("context of the group: %v", err)
+	}
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -86,6 +86,8 @@
 	u.sendDone = make(chan struct{})
 	u.attempt.proxy.tasks.Go(func(context.Context) error {
 		defer close(u.sendDone)
+		// Holds until the body has been sent, also if that panics.
+		u.sendErr = errNotSent
 		if !u.awaitContinue() || !u.claimed.CompareAndSwap(false, true) {
 			u.sendErr = context.Canceled
 			return nil
@@ -149,6 +151,8 @@
 // maxSkippedBytes bounds the body of a skipped response.
 const maxSkippedBytes = 256 << 10
 
+var errNotSent = errors.New("body was not sent")
+
 var errSkippedTooLarge = errors.New("response to an earlier request is too large")
 
 // skipBody reads the body of a response to an earlier request.
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -55,13 +55,16 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	results := make(chan hedgeResult, 2)
 	p.tasks.Go(func(context.Context) error {
-		a, f := first.classify(first.awaitHead(0))
-		results <- hedgeResult{true, a, f}
+		r := hedgeResult{first: true, failure: &failure{refusal: errPanic}}
+		// The result of a panic must arrive too.
+		defer func() { results <- r }()
+		r.answer, r.failure = first.classify(first.awaitHead(0))
 		return nil
 	})
 	p.tasks.Go(func(context.Context) error {
-		a, f := p.secondAttempt(ctx, x, reason)
-		results <- hedgeResult{false, a, f}
+		r := hedgeResult{failure: &failure{refusal: errPanic}}
+		defer func() { results <- r }()
+		r.answer, r.failure = p.secondAttempt(ctx, x, reason)
 		return nil
 	})
 	won := <-results
