Bound the memory of HTTP/2 connections of callers

Callers saw: on a host of 184 MB, some 300 HTTP/2 connections with a body that no server reads took it beyond its limit in a second (179 MB resident, 19 MB unread), 3,500 with a header that does not end took 223 MB. Idle ones took 25 KB each, 13 KB with HTTP/1.1. The caller's port speaks HTTP/2 to whoever begins with its preface; these users' pages speak HTTP/1.1 unless a route says otherwise, so this is not the likely cause of the report.

Cause: the defaults of net/http, a window of 1 MB for each connection, 250 streams, frames of up to 1 MB in a buffer that is kept; and no bound on the number of such connections.

Change: windows of 64 KB, 100 streams, frames of 16 KB. 5% of the memory of the process at 160 KB for each connection with HTTP/2 (58 at 184 MB); more are closed and count as hostLimit. Bodies of keyed requests take 5% instead of 10%. connReserve, which held the headers of a connection, now serves both.

Checked: race tests of proxy.

--- a/internal/route/proxy/config.go
+++ b/internal/route/proxy/config.go
@@ -42,6 +42,9 @@
 	MaxIdleServerConns int
 	// MaxConns bounds the open connections of callers.
 	MaxConns int
+	// MaxHTTP2Conns bounds those of them that use HTTP/2 without TLS, which take more
+	// memory.
+	MaxHTTP2Conns int
 	// MaxRequests bounds the requests in progress, over all connections.
 	MaxRequests int
 	// CallerBufferBytes and ServerBufferBytes bound what the kernel keeps in each
--- a/internal/route/proxy/headreserve.go
+++ b/internal/route/proxy/connreserve.go
@@ -2,10 +2,10 @@
 
 import "sync"
 
-// headReserve reserves memory for the headers of the requests on a caller's
-// connection, from their arrival to the end of their requests.
-type headReserve struct {
-	// total counts the headers of all connections, up to max.
+// connReserve is what a caller's connection has reserved of a quota that all
+// connections share.
+type connReserve struct {
+	// total counts what all connections have reserved, up to max.
 	total *quota
 	max   int64
 
@@ -14,15 +14,14 @@
 	closed   bool
 }
 
-// grow reserves memory for a header of n bytes so far, and reports whether there is
-// enough. Short headers need none.
-func (r *headReserve) grow(n int64) bool {
-	if n <= unsharedHeaderBytes || r.total == nil {
+// grow raises what is reserved to n, and reports whether there was enough.
+func (r *connReserve) grow(n int64) bool {
+	if n <= 0 || r.total == nil {
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	more := n - unsharedHeaderBytes - r.reserved
+	more := n - r.reserved
 	if more <= 0 || r.closed {
 		return true
 	}
@@ -34,7 +33,7 @@
 }
 
 // release releases what is reserved.
-func (r *headReserve) release() {
+func (r *connReserve) release() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.reserved > 0 {
@@ -44,7 +43,7 @@
 }
 
 // close releases what is reserved and reserves nothing more.
-func (r *headReserve) close() {
+func (r *connReserve) close() {
 	r.release()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -163,7 +163,7 @@
 	// proto is the scheme that the caller uses.
 	proto string
 	// heads reserves the memory of headers; nil for HTTP/2 over TLS.
-	heads *headReserve
+	heads *connReserve
 }
 
 // endRequest releases what the header of r has reserved.
--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -280,8 +280,13 @@
 type guardedConn struct {
 	net.Conn
 	guard guard
-	// heads reserves memory for the headers.
-	heads headReserve
+	// heads reserves memory for the headers, from their arrival to the end of their
+	// requests, beyond the first unsharedHeaderBytes of each.
+	heads connReserve
+	// http2 reserves one of the connections that may use HTTP/2; onFull is called if
+	// there is none.
+	http2  connReserve
+	onFull func()
 	// tls is set if Conn uses TLS.
 	tls bool
 	// pending is read before the connection ends.
@@ -298,7 +303,12 @@
 	}
 	n, err := c.Conn.Read(b)
 	passed, ok := c.guard.scan(b[:n])
-	if ok && (!c.guard.readsHead() || c.heads.grow(c.guard.head)) {
+	if c.guard.state == guardHTTP2 && !c.http2.grow(1) {
+		c.guard.state = guardEnded
+		c.onFull()
+		return 0, io.EOF
+	}
+	if ok && (!c.guard.readsHead() || c.heads.grow(c.guard.head-unsharedHeaderBytes)) {
 		return n, err
 	}
 	if ok {
@@ -329,5 +339,6 @@
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.heads.close()
+	c.http2.close()
 	return c.Conn.Close()
 }
--- a/internal/route/proxy/limits.go
+++ b/internal/route/proxy/limits.go
@@ -3,6 +3,9 @@
 const (
 	// connBytes is the memory of a connection of a caller without a request.
 	connBytes = 16 << 10
+	// http2ConnBytes is the most memory of a connection with HTTP/2: its window, a
+	// header that has not ended, and buffers.
+	http2ConnBytes = 160 << 10
 	// requestBytes is the most memory that a request in progress takes: its state,
 	// the start of its body and the buffers to copy body and answer (96 KB), and what
 	// the kernel keeps unread of its caller and its server (64 KB).
@@ -13,7 +16,8 @@
 	connsPercent    = 15
 	requestsPercent = 45
 	headersPercent  = 6
-	keyedPercent    = 10
+	keyedPercent    = 5
+	http2Percent    = 5
 
 	// filesReserved is the number of descriptors that are kept for files.
 	filesReserved = 200
@@ -48,6 +52,11 @@
 		requests = min(requests, sockets*requestSocketsPercent/100)
 		idle = min(idle, sockets*idleSocketsPercent/100)
 	}
+	http2 := conns
+	if c.MemoryBytes > 0 {
+		http2 = min(conns, c.MemoryBytes*http2Percent/100/http2ConnBytes)
+	}
+	setDefault(&c.MaxHTTP2Conns, int(max(http2, 1)))
 	setDefault(&c.MaxConns, int(max(conns, 1)))
 	setDefault(&c.MaxRequests, int(max(requests, 1)))
 	setDefault(&c.MaxHeadersTotal, headers)
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -7,12 +7,25 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"turmericcove.org/cove"
 )
 
 // writeTimeout bounds how long a caller that does not read can hold a connection
 // if no other write deadline is set.
 const writeTimeout = 5 * time.Minute
 
+const (
+	// maxHTTP2Streams bounds the requests in progress on an HTTP/2 connection.
+	maxHTTP2Streams = 100
+	// http2BufferBytes bounds the bodies on an HTTP/2 connection that have arrived and
+	// are not yet read, as their server is slow.
+	http2BufferBytes = 64 << 10
+	// http2FrameBytes is the smallest bound on frames; a connection keeps a buffer of
+	// the largest one.
+	http2FrameBytes = 16 << 10
+)
+
 // headerLimitFactor is the ratio of net/http's header limit to MaxHeaderBytes.
 // Headers between the two limits get a refusal of the proxy; net/http refuses
 // larger ones with a plain 431.
@@ -24,7 +37,13 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           p,
+		Handler: p,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxHTTP2Streams,
+			MaxReceiveBufferPerConnection: http2BufferBytes,
+			MaxReceiveBufferPerStream:     http2BufferBytes,
+			MaxReadFrameSize:              http2FrameBytes,
+		},
 		Protocols:         &protocols,
 		ReadHeaderTimeout: p.cfg.HeaderTimeout,
 		IdleTimeout:       p.cfg.IdleTimeout,
@@ -44,9 +63,16 @@
 
 // guardConn returns a caller's connection with a guard.
 func (p *Proxy) guardConn(c net.Conn, tls bool) net.Conn {
-	return &guardedConn{Conn: c, tls: tls, heads: headReserve{total: &p.callerHeads, max: p.cfg.MaxHeadersTotal}}
+	return &guardedConn{
+		Conn: c, tls: tls, onFull: p.countFull,
+		heads: connReserve{total: &p.callerHeads, max: p.cfg.MaxHeadersTotal},
+		http2: connReserve{total: &p.http2Conns, max: int64(p.cfg.MaxHTTP2Conns)},
+	}
 }
 
+// countFull counts a connection that is closed because there are too many.
+func (p *Proxy) countFull() { p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1) }
+
 // boundedListener closes connections above a maximum at once, so that callers
 // fail over to another host instead of waiting in the accept queue.
 type boundedListener struct {
--- a/internal/route/proxy/memory_test.go
+++ b/internal/route/proxy/memory_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
 	"turmericcove.org/cove/internal/bench/server"
 )
 
@@ -133,7 +139,7 @@
 		descriptors int
 	}{{184, 4100}, {284, 4100}, {536, 8192}, {64, 256}, {4096, 1 << 20}} {
 		c := Config{MemoryBytes: p.megabytes << 20, MaxDescriptors: p.descriptors}.withDefaults()
-		total := int64(c.MaxConns)*connBytes + int64(c.MaxRequests)*requestBytes + 2*c.MaxHeadersTotal + c.MaxKeyedTotal
+		total := int64(c.MaxConns)*connBytes + int64(c.MaxRequests)*requestBytes + 2*c.MaxHeadersTotal + c.MaxKeyedTotal + int64(c.MaxHTTP2Conns)*http2ConnBytes
 		if most := c.MemoryBytes * 85 / 100; total > most {
 			t.Errorf("%v: limits of %d bytes, want at most %d", p, total, most)
 		}
@@ -149,3 +155,84 @@
 		t.Errorf("unknown process: %d connections, %d requests", c.MaxConns, c.MaxRequests)
 	}
 }
+
+// Guards against callers that fill the memory of a host with bodies over HTTP/2 that
+// no server reads: each connection held a window of 1 MB.
+func TestUnreadHTTP2BodiesAreBounded(t *testing.T) {
+	const (
+		callers = 100
+		// memory bounds the growth of the heap for each connection.
+		memory = 256 << 10
+	)
+	release := make(chan struct{})
+	var reached atomic.Int64
+	target := newRawServer(t, "s", func(_ net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			reached.Add(1)
+		}
+		<-release
+	})
+	cfg := smallBuffers
+	cfg.MaxHTTP2Conns = callers
+	h := newHost(t, "a", nil, cfg, target)
+	t.Cleanup(func() { close(release) })
+	before := heapBytes()
+	for range callers {
+		go fillHTTP2Window(dialRaw(t, h))
+	}
+	waitFor(t, "the requests", func() bool { return reached.Load() == callers })
+	time.Sleep(500 * time.Millisecond)
+	if grown := heapBytes() - before; grown > callers*memory {
+		t.Errorf("the heap grows by %d bytes, want at most %d", grown, callers*memory)
+	}
+	c := dialRaw(t, h)
+	_, _ = io.WriteString(c, http2.ClientPreface)
+	// net/http writes a plain 400, which no HTTP/2 caller takes for a response.
+	if _, err := io.Copy(io.Discard, c); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("a connection above the limit is not closed: %v", err)
+	}
+	if h.meter.Count("refusal.hostLimit") != 1 {
+		t.Error("a connection above the limit is not counted")
+	}
+}
+
+// fillHTTP2Window sends a request whose body fills the window of the connection.
+func fillHTTP2Window(c net.Conn) {
+	_, _ = io.WriteString(c, http2.ClientPreface)
+	f := http2.NewFramer(c, c)
+	_ = f.WriteSettings()
+	var head bytes.Buffer
+	enc := hpack.NewEncoder(&head)
+	for _, v := range [][2]string{{":method", "POST"}, {":path", "/open"}, {":scheme", "http"}, {":authority", "x"}} {
+		_ = enc.WriteField(hpack.HeaderField{Name: v[0], Value: v[1]})
+	}
+	_ = f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: head.Bytes(), EndHeaders: true})
+	// The windows of streams and connections begin with 64 KB.
+	left, stream := int64(65535), int64(65535)
+	for {
+		n := min(left, stream, 16<<10)
+		if n > 0 {
+			if err := f.WriteData(1, false, make([]byte, n)); err != nil {
+				return
+			}
+			left, stream = left-n, stream-n
+			continue
+		}
+		fr, err := f.ReadFrame()
+		if err != nil {
+			return
+		}
+		switch fr := fr.(type) {
+		case *http2.SettingsFrame:
+			if v, ok := fr.Value(http2.SettingInitialWindowSize); ok {
+				stream += int64(v) - 65535
+			}
+		case *http2.WindowUpdateFrame:
+			if fr.StreamID == 0 {
+				left += int64(fr.Increment)
+			} else {
+				stream += int64(fr.Increment)
+			}
+		}
+	}
+}
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -66,8 +66,10 @@
 	keyedMemory quota
 	// callerHeads bounds the memory of the headers of callers.
 	callerHeads quota
-	routeStats  routeStatsMap
-	tasks       *group.Group
+	// http2Conns counts the connections of callers that use HTTP/2.
+	http2Conns quota
+	routeStats routeStatsMap
+	tasks      *group.Group
 
 	server   *http.Server
 	listener net.Listener
@@ -147,9 +149,7 @@
 func (p *Proxy) Addr() net.Addr { return p.listener.Addr() }
 
 func (p *Proxy) accept(ln net.Listener) error {
-	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), onFull: func() {
-		p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1)
-	}}
+	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), onFull: p.countFull}
 	if p.cfg.TLS != nil {
 		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks, func(c net.Conn) net.Conn { return p.guardConn(c, true) })
 	} else {
