--- a/internal/route/proxy/conns.go
+++ b/internal/route/proxy/conns.go
@@ -40,7 +40,7 @@
 	defer s.mu.Unlock()
 	open := 0
 	for c, state := range s.states {
-		if c.http2.Load() {
+		if c.usesHTTP2.Load() {
 			continue
 		}
 		open++
