covebench soak: servers that are replaced, hosts stopped again while they start

Backend servers leave as planned and are replaced at their address, and some hosts are stopped again within 1.5 s of their start.

--- a/internal/bench/soak/site.go
+++ b/internal/bench/soak/site.go
@@ -14,6 +14,9 @@
 	lossSlack  = 200 * time.Millisecond
 	configTime = 3 * time.Second
 	heartbeat  = 1500 * time.Millisecond
+	drain      = 3 * time.Second
+	drainSlack = 500 * time.Millisecond
+	reuseDelay = 2 * time.Second
 	// takenUntil is how long after SIGTERM a request may be sent whose cut at the end
 	// of the grace is excused.
 	takenUntil = 3 * time.Second
--- a/internal/bench/soak/store.go
+++ b/internal/bench/soak/store.go
@@ -100,6 +100,13 @@
 	return nil
 }
 
+// remove removes a row of an empty part.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]row{{Table: table, Key: key, Removed: true}})
+}
+
 func (s *store) answer(w http.ResponseWriter, status int, rows []row, version uint64) {
 	if rows == nil {
 		rows = []row{}
