Close the connection with a refusal of a stopping host

Callers on a kept connection got 503 from a host that takes no more requests, without Connection: close, and sent the next request on it. That crossed the close at the end of the stop: a reset instead of an answer. HTTP/2 callers got no GOAWAY and sent in a loop.

Cause: ServeHTTP set the header after the check that refuses. Requests were answered with it while the host was leaving, but not in the last part of the stop.

Evidence, TestRefusalOfStoppingHostClosesConnection before the change: stop_test.go:456: status 503, closes the connection: false

Change: the header is set first, also for refusals by the limit of requests.

--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -52,13 +52,15 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer callerOf(r).endRequest(r)
 	defer p.active.Add(-1)
+	// Refusals close the connection too: those of a stopping host are all that a
+	// caller may get on it.
+	if p.leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	if ref := p.beginRequest(); ref != nil {
 		p.writeRefusal(w, "", ref)
 		return
 	}
-	if p.leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	if strings.HasPrefix(r.URL.Path, localPrefix) {
 		p.serveLocal(w, r)
 		return
--- a/internal/route/proxy/stop_test.go
+++ b/internal/route/proxy/stop_test.go
@@ -436,3 +436,23 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, err
 }
+
+// Guards against a refusal of a stopping host that keeps the connection open, so that
+// the caller's next request crosses the close of it.
+func TestRefusalOfStoppingHostClosesConnection(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "a", nil, Config{})
+	nc := dialRaw(t, h)
+	h.phase.Store(phaseStopping)
+	if _, err := io.WriteString(nc, "GET /open HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("status %d, closes the connection: %t", resp.StatusCode, resp.Close)
+	}
+}
