Leave the connection of a finished attempt alone when another one wins

What callers saw, or may have: 502, or a response that ends early, for a request that was not at fault. Its connection to a sound server was closed by this host.

Cause: when the second of two concurrent attempts has an answer first, discardLoser aborts the first one, which closes its connection. By then the first one may have been refused by its server, and its connection be in the pool or at the next request, also one that may not be repeated. The interface allowed abort only until finish returns, and nothing held discardLoser to that. The span is the time from the answer of the second attempt until its goroutine runs, which grows on a small and busy host, under load, when servers refuse.

Change: after finish, abort does nothing. The other upstream cancels a context of its own, which is harmless.

Looked at as well: AbandonServers aborts attempts that wait for a head, and each is removed under its lock before it can finish; the context of a second attempt closes nothing once finish has unregistered it.

--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -38,8 +38,8 @@
 	awaitHead(wait time.Duration) (*http.Response, error)
 	// finish ends the attempt. If complete, the connection may be reused.
 	finish(complete bool)
-	// abort interrupts the other methods. It may be called concurrently, until
-	// finish returns.
+	// abort interrupts the other methods. It may be called concurrently, and does
+	// nothing after finish.
 	abort()
 }
 
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -25,6 +25,9 @@
 	// is canceled. It returns false if that function has been started.
 	stop func() bool
 	resp *http.Response
+	// mu guards finished, after which the connection may belong to another request.
+	mu       sync.Mutex
+	finished bool
 
 	// The remaining fields belong to the goroutine that sends a streamed body.
 	continued    chan struct{}
@@ -55,7 +58,13 @@
 
 func (u *directUpstream) wrote() bool { return u.conn.wrote.Load() }
 
-func (u *directUpstream) abort() { u.conn.close() }
+func (u *directUpstream) abort() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.finished {
+		u.conn.close()
+	}
+}
 
 func (u *directUpstream) send() error {
 	x := u.attempt.exchange
@@ -197,6 +206,9 @@
 
 func (u *directUpstream) finish(complete bool) {
 	alive := u.stop()
+	u.mu.Lock()
+	u.finished = true
+	u.mu.Unlock()
 	u.conn.head.release()
 	if u.sendDone != nil && !u.bodySent() {
 		complete = false
--- a/internal/route/proxy/pool_test.go
+++ b/internal/route/proxy/pool_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
+	"turmericcove.org/cove/internal/bench/server"
 	"turmericcove.org/cove/internal/core/clock"
 )
 
@@ -75,3 +77,27 @@
 		t.Error("an idle connection was not closed")
 	}
 }
+
+// Guards against an attempt that has lost and closes the connection of another request:
+// its server refused it, so that its connection is in use again when the faster attempt
+// ends.
+func TestAbortAfterFinishLeavesConnectionOpen(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	c, err := h.pool.get(t.Context(), targets[0].Addr, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := newDirectUpstream(&attempt{proxy: h.Proxy, ctx: t.Context()}, c)
+	u.resp = &http.Response{ProtoMajor: 1, ProtoMinor: 1}
+	u.finish(true)
+	next, err := h.pool.get(t.Context(), targets[0].Addr, time.Minute)
+	if err != nil || next != c {
+		t.Fatalf("the connection is not used again: %v", err)
+	}
+	u.abort()
+	if !next.usable() {
+		t.Error("the connection of the next request is closed")
+	}
+	next.close()
+}
