Refuse new requests while the heap is near the limit of the process

What grows beyond that took a host on until it was killed with its requests, or left it busy with nothing but collecting garbage: nothing refused work for memory.

Change: every 250 ms a host compares the live heap of the last collection (runtime/metrics) with 48% of its memory, four fifths of the runtime's soft limit. Above it, new requests are refused at once as not run (503, hostMemory) and those in progress go on; events host.memoryFull and host.memoryFree. A request costs one atomic load.

Weighed: refusing by the size of all mapped memory; it follows garbage and freed pages, and would refuse at the ordinary pace of collections.

Checked: race tests of proxy pass.

--- a/internal/route/proxy/memory_test.go
+++ b/internal/route/proxy/memory_test.go
@@ -130,6 +130,40 @@
 // smallBuffers bounds what the kernel keeps of a connection.
 var smallBuffers = Config{CallerBufferBytes: 16 << 10, ServerBufferBytes: 32 << 10}
 
+// ballast is memory that no limit accounts for.
+var ballast []byte
+
+// Guards against a host whose heap grows by something that no limit accounts for, until
+// it is killed or does nothing but collect garbage; and against one that never takes
+// requests again, or that drops those in progress.
+func TestFullHeapRefusesNewRequests(t *testing.T) {
+	servers, targets := newServers(t, 1, server.Config{ServiceTime: 1500 * time.Millisecond})
+	h := newHost(t, "a", nil, Config{MemoryBytes: (heapBytes() + 48<<20) * 100 / heapPercent}, targets...)
+	running := make(chan int, 1)
+	go func() {
+		resp, err := http.Get(h.url + "/open/running")
+		if err != nil {
+			running <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		running <- resp.StatusCode
+	}()
+	waitFor(t, "the request to run", func() bool { return servers[0].Outstanding() == 1 })
+	ballast = make([]byte, 96<<20)
+	runtime.GC()
+	waitFor(t, "the heap to be full", h.heap.full.Load)
+	call(t, h, "GET", "/open/x", "").expect(t, http.StatusServiceUnavailable, "hostMemory", "not-run")
+	if status := <-running; status != http.StatusOK {
+		t.Errorf("the request in progress ends with %d", status)
+	}
+	ballast = nil
+	waitFor(t, "the heap to have room", func() bool { return !h.heap.full.Load() })
+	if resp := call(t, h, "GET", "/open/y", ""); resp.StatusCode != http.StatusOK {
+		t.Errorf("a request is refused afterwards: %s", resp.Status)
+	}
+}
+
 // Guards against limits that together exceed the memory or the descriptors of the
 // process: callers' connections took all descriptors, so that no backend server could
 // be reached.
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -66,6 +66,7 @@
 	keyedMemory quota
 	// callerHeads bounds the memory of the headers of callers.
 	callerHeads quota
+	heap        heapGuard
 	// http2Conns counts the connections of callers that use HTTP/2.
 	http2Conns quota
 	routeStats routeStatsMap
@@ -141,6 +142,10 @@
 	p.listener = ln
 	p.server = p.newServer()
 	p.tasks.Go(p.sweep)
+	if p.cfg.MemoryBytes > 0 {
+		p.heap.limit = p.cfg.MemoryBytes * heapPercent / 100
+		p.tasks.Go(p.watchHeap)
+	}
 	p.tasks.Go(func(context.Context) error { return p.accept(ln) })
 	return nil
 }
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -36,6 +36,7 @@
 	errNoTable     = refuseUnavailable(cove.ReasonNoTable, "no table yet")
 	errStopping    = refuseUnavailable(cove.ReasonStopping, "host is stopping")
 	errHeadersFull = refuseUnavailable(cove.ReasonHostMemory, "too many large headers on this host")
+	errHeapFull    = refuseUnavailable(cove.ReasonHostMemory, "no memory for more requests on this host")
 	errBusy        = refuseUnavailable(cove.ReasonHostLimit, "too many requests on this host")
 )
 
@@ -67,12 +68,15 @@
 }
 
 // beginRequest counts a request in progress and refuses it when the host is
-// busy or stopping. In either case p.active must be decremented afterwards.
+// busy, short of memory or stopping. In either case p.active must be decremented afterwards.
 func (p *Proxy) beginRequest() *cove.Refusal {
 	p.arrivals.Add(1)
 	if p.active.Add(1) > int64(p.cfg.MaxRequests) {
 		return errBusy
 	}
+	if p.heap.full.Load() {
+		return errHeapFull
+	}
 	if p.stopping() {
 		return errStopping
 	}
