Answer requests sent ahead before a leaving host closes their connection

Cause: each response of a leaving host closes the connection, whatever net/http has already read behind its request.

Evidence: TestLeavingHostDropsRequestSentAhead failed before: "request 0: ... closes the connection: true", then EOF.

Change: the guard of a connection counts headers that have been read, the handler those it has begun. While there are more of the former, the response does not close the connection.

Measured: the tests of requests sent ahead, of the guard and of leaving hosts pass with the race detector. Ruled out: this is not tied to the end of the grace, and callers that send ahead have to expect a close (RFC 9112, 9.3.2); it is unlikely to be the users' case.

--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -204,14 +204,28 @@
 	block uint64
 	// proto is the scheme that the caller uses.
 	proto string
-	// heads reserves the memory of headers; nil for HTTP/2 over TLS.
-	heads *connReserve
+	// conn is the connection; nil for HTTP/2 over TLS.
+	conn *guardedConn
+}
+
+// beginRequest counts a request of the connection.
+func (c *caller) beginRequest(r *http.Request) {
+	if c.conn != nil && r.ProtoMajor == 1 {
+		c.conn.begun.Add(1)
+	}
+}
+
+// mustClose reports whether the response to r has to close the connection of a leaving
+// host. If the caller has sent another request ahead that has been read, it is answered
+// first.
+func (c *caller) mustClose(r *http.Request) bool {
+	return c.conn == nil || r.ProtoMajor != 1 || !c.conn.hasReadAhead()
 }
 
 // endRequest releases what the header of r has reserved.
 func (c *caller) endRequest(r *http.Request) {
-	if c.heads != nil && r.ProtoMajor == 1 {
-		c.heads.release()
+	if c.conn != nil && r.ProtoMajor == 1 {
+		c.conn.heads.release()
 	}
 }
 
--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -57,6 +57,8 @@
 	line []byte
 	// head is the memory of the header that is being read.
 	head int64
+	// headers is the number of headers that have been read.
+	headers int64
 	// linePassed is set if the start of the current line has been passed on in an
 	// earlier read.
 	linePassed bool
@@ -173,7 +175,7 @@
 		g.state = guardPreface
 		return !g.firstLineSeen
 	}
-	*g = guard{state: guardHeader, line: g.line, head: g.head, firstLineSeen: true, notHTTP11: !bytes.HasSuffix(line, []byte(" HTTP/1.1"))}
+	*g = guard{state: guardHeader, line: g.line, head: g.head, headers: g.headers, firstLineSeen: true, notHTTP11: !bytes.HasSuffix(line, []byte(" HTTP/1.1"))}
 	return true
 }
 
@@ -229,6 +231,7 @@
 		return false
 	}
 	g.head = 0
+	g.headers++
 	switch {
 	case g.chunked:
 		g.state = guardChunkSize
@@ -290,6 +293,9 @@
 	onFull func()
 	// tls is set if Conn uses TLS.
 	tls bool
+	// read and begun count the headers that have been read and the requests whose
+	// handler has been called.
+	read, begun atomic.Int64
 	// usesHTTP2 is set once the connection speaks HTTP/2.
 	usesHTTP2 atomic.Bool
 	// pending is read before the connection ends.
@@ -306,6 +312,7 @@
 	}
 	n, err := c.Conn.Read(b)
 	passed, ok := c.guard.scan(b[:n])
+	c.read.Store(c.guard.headers)
 	if c.guard.state == guardHTTP2 && !c.beginHTTP2() {
 		c.guard.state = guardEnded
 		c.onFull()
@@ -342,6 +349,10 @@
 	return true
 }
 
+// hasReadAhead reports whether the header of a request has been read whose handler has
+// not been called.
+func (c *guardedConn) hasReadAhead() bool { return c.read.Load() > c.begun.Load() }
+
 func (c *guardedConn) readPending(b []byte) (int, error) {
 	if len(c.pending) == 0 {
 		return 0, io.EOF
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -52,7 +52,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			caller := newCaller(c.RemoteAddr().String(), overTLS(c))
 			if g, ok := c.(*guardedConn); ok {
-				caller.heads = &g.heads
+				caller.conn = g
 			}
 			return context.WithValue(ctx, callerKey{}, caller)
 		},
--- a/internal/route/proxy/pipeline_test.go
+++ b/internal/route/proxy/pipeline_test.go
@@ -151,3 +151,26 @@
 		t.Errorf("%d requests ran, %d were answered", runs, answers)
 	}
 }
+
+// Guards against a request that a leaving host has read behind another one, and drops
+// because the response to that one closes the connection.
+func TestLeavingHostDropsRequestSentAhead(t *testing.T) {
+	_, targets := newServers(t, 1, server.Config{})
+	h := newHost(t, "a", nil, Config{}, targets...)
+	h.Leave(t.Context())
+	nc := dialRaw(t, h)
+	const request = "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"
+	if _, err := io.WriteString(nc, request+request+request); err != nil {
+		t.Fatal(err)
+	}
+	br := bufio.NewReader(nc)
+	for i, last := range []bool{false, false, true} {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK || resp.Close != last {
+			t.Errorf("request %d: status %d, closes the connection: %t, %v", i, resp.StatusCode, resp.Close, err)
+		}
+	}
+}
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -51,11 +51,13 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer callerOf(r).endRequest(r)
+	from := callerOf(r)
+	from.beginRequest(r)
+	defer from.endRequest(r)
 	defer p.active.Add(-1)
 	// Refusals close the connection too: those of a stopping host are all that a
 	// caller may get on it.
-	if p.leaving() {
+	if p.leaving() && from.mustClose(r) {
 		w.Header().Set("Connection", "close")
 	}
 	if ref := p.beginRequest(); ref != nil {
