--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -138,10 +138,14 @@
 	return &c
 }
 
-// setDeadline starts the context of the exchange, which ends after left.
+// setDeadline starts the context of the exchange, which ends after left. Reads of the
+// body fail from then on, as its sender may be slow or have stopped.
 func (x *exchange) setDeadline(left time.Duration) {
 	x.callerCtx.init(x.r.Context(), left)
 	x.setContext(&x.callerCtx)
+	if x.r.ContentLength != 0 {
+		_ = http.NewResponseController(x.w).SetReadDeadline(x.callerCtx.deadline)
+	}
 }
 
 func (x *exchange) setContext(ctx *deadlineContext) {
@@ -201,7 +205,7 @@
 	// proto is the scheme that the caller uses.
 	proto string
 	// heads reserves the memory of headers; nil for HTTP/2 over TLS.
-	heads *headReserve
+	heads *connReserve
 }
 
 // endRequest releases what the header of r has reserved.
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -67,8 +67,11 @@
 	keyedMemory quota
 	// callerHeads bounds the memory of the headers of callers.
 	callerHeads quota
-	routeStats  routeStatsMap
-	tasks       *group.Group
+	heap        heapGuard
+	// http2Conns counts the connections of callers that use HTTP/2.
+	http2Conns quota
+	routeStats routeStatsMap
+	tasks      *group.Group
 
 	server   *http.Server
 	listener net.Listener
@@ -105,6 +108,8 @@
 	p.pool.now = d.Clock.Now
 	p.pool.dialTimeout = p.cfg.DialTimeout
 	p.pool.bufferBytes = p.cfg.ServerBufferBytes
+	p.pool.maxHeads = p.cfg.MaxHeadersTotal
+	p.pool.maxIdle = p.cfg.MaxIdleServerConns
 	p.retryBudgets.SetConfig(p.cfg.RetryBudget)
 	p.localMux.HandleFunc("POST "+localPrefix+"ticket", p.serveTicket)
 	p.localMux.HandleFunc(localPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoLocalHandler) })
@@ -143,6 +148,10 @@
 	p.server = p.newServer()
 	p.acceptEnded = make(chan struct{})
 	p.tasks.Go(p.sweep)
+	if p.cfg.MemoryBytes > 0 {
+		p.heap.limit = p.cfg.MemoryBytes * heapPercent / 100
+		p.tasks.Go(p.watchHeap)
+	}
 	p.tasks.Go(func(context.Context) error { return p.accept(ln) })
 	return nil
 }
@@ -152,9 +161,7 @@
 
 func (p *Proxy) accept(ln net.Listener) error {
 	defer close(p.acceptEnded)
-	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), onFull: func() {
-		p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1)
-	}}
+	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), onFull: p.countFull}
 	if p.cfg.TLS != nil {
 		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks, func(c net.Conn) net.Conn { return p.guardConn(c, true) })
 	} else {
