Test admission in random states of the servers

A second guard for the fault of, a request without an answer because the list of servers was empty: 40 seeds of 300 requests with random evacuations, drains, cold times, limits, pauses and results, 0.4 s. With that change taken back it panics: index out of range [0] with length 0, selectServer balancer.go:226

--- a/internal/route/steer/balancer_test.go
+++ b/internal/route/steer/balancer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -293,3 +294,49 @@
 		t.Errorf("the unresponsive server got %d requests in 3 s", received)
 	}
 }
+
+// Guards against a panic or an empty choice, after which callers get no answer, in
+// states of the servers that no other test has: random tables, limits and results.
+func TestAdmitInRandomStates(t *testing.T) {
+	for seed := range uint64(40) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		f := newFleet(1+rnd.IntN(2), 1+rnd.IntN(8))
+		var open []cove.Permit
+		for range 300 {
+			f.clock.Advance(time.Duration(rnd.IntN(600)) * time.Millisecond)
+			b := f.hosts[rnd.IntN(len(f.hosts))]
+			id := f.table.Pools[0].Servers[rnd.IntN(len(f.table.Pools[0].Servers))].ID
+			switch rnd.IntN(8) {
+			case 0:
+				f.change(func(t *cove.Table) {
+					for i := range t.Domains {
+						t.Domains[i].Evacuated = rnd.IntN(3) == 0
+					}
+				})
+			case 1:
+				f.change(func(t *cove.Table) {
+					s := &t.Pools[0].Servers[rnd.IntN(len(t.Pools[0].Servers))]
+					s.Draining, s.Slots = rnd.IntN(3) == 0, rnd.IntN(6)
+					s.Domain = []cove.Domain{"east-a", "west-a", "unlisted"}[rnd.IntN(3)]
+					s.ColdUntil = f.clock.Now().Add(time.Duration(rnd.IntN(2)) * time.Second)
+				})
+			case 2, 3:
+				b.ApplyLimits([]LimitUpdate{{Pool: testPool, Server: id, Limited: rnd.IntN(4) > 0, PerSecond: float64(rnd.IntN(4))}})
+			case 4:
+				b.quotas.TryTake(id, 1)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			req := cove.RequestInfo{ID: fmt.Sprint(rnd.Uint64()), Route: "r", AffinityKey: uint64(rnd.IntN(12)), Goal: time.Second, Deadline: f.clock.Now().Add(time.Duration(rnd.IntN(1000)) * time.Millisecond)}
+			p, err := b.Admit(ctx, []cove.PoolWeight{{Pool: testPool, Weight: 1}}, req, cove.Exclude{})
+			cancel()
+			if err == nil {
+				open = append(open, p)
+			}
+			if len(open) > 0 && rnd.IntN(2) == 0 {
+				open[0].Responded(cove.ServerStatus{Draining: rnd.IntN(20) == 0, RetryAfter: time.Duration(rnd.IntN(2)) * time.Second, LimitUnreadable: true})
+				open[0].Done([]cove.AttemptResult{okResult, {Unreached: true}, {Misdirected: true, Status: 421}, {Silent: true}}[rnd.IntN(4)])
+				open = open[1:]
+			}
+		}
+	}
+}
