--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -54,6 +54,12 @@
 	started  time.Time
 	// superseded is set when the response of another attempt is used.
 	superseded atomic.Bool
+	// ended is set when the permit is released.
+	ended atomic.Bool
+	// previous is the attempt of the exchange begun before this one.
+	previous *attempt
+	// stopped is set when the host stops before the response has begun.
+	stopped atomic.Bool
 	// connectTime is how long it took to connect, or 0 for a reused connection.
 	connectTime time.Duration
 }
@@ -110,6 +116,7 @@
 	if f.avoid != nil {
 		x.avoid(*f.avoid)
 	}
+	x.stage.CompareAndSwap(stageSent, stageWaiting)
 	return true
 }
 
@@ -122,9 +129,7 @@
 		return nil, f
 	}
 	wait, reason := p.hedgeDelay(x)
-	p.waiting.add(t)
-	resp, err := t.upstream.awaitHead(wait)
-	p.waiting.remove(t)
+	resp, err := t.awaitHead(wait)
 	if errors.Is(err, errNoAnswerYet) {
 		return p.hedge(x, t, reason)
 	}
@@ -139,6 +144,7 @@
 		return nil, &failure{refusal: admissionRefusal(err)}
 	}
 	t := &attempt{proxy: p, exchange: x, ctx: ctx, permit: permit, target: permit.Target(), started: p.Clock.Now()}
+	x.addAttempt(t)
 	x.pinPool(t.target.Pool)
 	p.recordPlacement(x, t)
 	if x.attempts == 1 && !x.fromPeer {
@@ -164,9 +170,14 @@
 	}
 	// The key may have been withdrawn while the request waited for admission.
 	if ref := t.proxy.recheckKey(t.exchange); ref != nil {
-		t.upstream.finish(false)
-		t.done(cove.AttemptResult{Canceled: true})
-		return &failure{refusal: ref}
+		return t.refuse(ref)
+	}
+	// The body of the request, admission or an earlier attempt may have taken long.
+	if ref := t.proxy.refuseUnfinished(t.exchange); ref != nil {
+		return t.refuse(ref)
+	}
+	if !t.exchange.beginSend(&t.target) {
+		return t.refuse(errTooLate)
 	}
 	t.permit.Sent()
 	if err := t.upstream.send(); err != nil && !t.upstream.wrote() {
@@ -176,6 +187,28 @@
 	return nil
 }
 
+// awaitHead waits for the header of the response like upstream.awaitHead. Meanwhile the
+// attempt can be ended from outside.
+func (t *attempt) awaitHead(wait time.Duration) (*http.Response, error) {
+	t.proxy.waiting.add(t)
+	defer t.proxy.waiting.remove(t)
+	return t.upstream.awaitHead(wait)
+}
+
+// stop ends an attempt that waits for the header of the response, because the host
+// stops.
+func (t *attempt) stop() {
+	t.stopped.Store(true)
+	t.upstream.abort()
+}
+
+// refuse ends an attempt that is not sent.
+func (t *attempt) refuse(r *cove.Refusal) *failure {
+	t.upstream.finish(false)
+	t.done(cove.AttemptResult{Canceled: true})
+	return &failure{refusal: r}
+}
+
 // expectedServer returns the header that names the intended backend server.
 func (t *attempt) expectedServer() field {
 	return field{name: t.proxy.cfg.Dialect.ExpectedServerHeader, value: string(t.target.Server)}
@@ -251,6 +284,7 @@
 	if res.Latency == 0 {
 		res.Latency = t.proxy.Clock.Now().Sub(t.started)
 	}
+	t.ended.Store(true)
 	t.permit.Done(res)
 	if t.proxy.Histograms != nil {
 		t.proxy.Histograms.Observe("attemptSeconds", "pool", string(t.target.Pool), res.Latency)
@@ -318,6 +352,10 @@
 		t.upstream.finish(false)
 		return t.connectFailed(err)
 	}
+	if t.stopped.Load() {
+		t.abandon(cove.AttemptResult{Canceled: true})
+		return &failure{refusal: errCutOff}
+	}
 	if t.exchange.body.tooLarge() {
 		t.abandon(cove.AttemptResult{Canceled: true})
 		return &failure{refusal: refuseUnknown(errBodyTooLarge.Status, errBodyTooLarge.Reason, errBodyTooLarge.Detail)}
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -18,11 +18,13 @@
 	// ctx is callerCtx, or its detached form once a keyed request runs.
 	ctx       *deadlineContext
 	callerCtx deadlineContext
-	w         http.ResponseWriter
-	r         *http.Request
-	table     *compiledTable
-	route     *cove.Route
-	stats     *routeStats
+	// waitCtx is ctx, for other goroutines.
+	waitCtx atomic.Pointer[deadlineContext]
+	w       http.ResponseWriter
+	r       *http.Request
+	table   *compiledTable
+	route   *cove.Route
+	stats   *routeStats
 	// started is the time at which the request arrived.
 	started  time.Time
 	deadline time.Time
@@ -51,6 +53,10 @@
 	reserved int64
 	// attempts is the number of attempts begun.
 	attempts int
+	// stage is how far the request has come.
+	stage atomic.Int32
+	// sentTo is the target of the last attempt that was sent; nil if there is none.
+	sentTo atomic.Pointer[cove.Target]
 	// mayHaveRun is set when an attempt ended and a backend server may have run
 	// the request.
 	mayHaveRun atomic.Bool
@@ -66,6 +72,11 @@
 	// sentToOwner marks a keyed request that another host forwarded to this one
 	// as the owner of its key.
 	sentToOwner bool
+	// answered is set before the header of the response is written.
+	answered bool
+	// attemptsMu guards lastAttempt, the attempt begun last.
+	attemptsMu  sync.Mutex
+	lastAttempt *attempt
 	// fromPeer marks a request from another entry host.
 	fromPeer bool
 }
@@ -88,6 +99,7 @@
 
 // endExchange releases the resources of the exchange.
 func (p *Proxy) endExchange(x *exchange) {
+	p.progress.remove(x)
 	p.keyedMemory.release(x.reserved)
 	x.body.release()
 	if x.ctx != nil {
@@ -108,10 +120,17 @@
 	return true
 }
 
-// finalRefusal corrects the outcome of the refusal sent to the caller: if any
-// attempt may have run, the outcome of the whole request is unknown.
+// finalRefusal corrects the refusal sent to the caller: if any attempt may have run,
+// the outcome of the whole request is unknown. A request that was interrupted may be
+// sent to another host.
 func (x *exchange) finalRefusal(r *cove.Refusal) *cove.Refusal {
-	if r.Outcome == cove.Unknown || !x.mayHaveRun.Load() {
+	if r.Outcome == cove.Unknown {
+		return r
+	}
+	if !x.mayHaveRun.Load() {
+		if x.stage.Load() == stageInterrupted {
+			return errTooLate
+		}
 		return r
 	}
 	c := *r
@@ -123,12 +142,17 @@
 // body fail from then on, as its sender may be slow or have stopped.
 func (x *exchange) setDeadline(left time.Duration) {
 	x.callerCtx.init(x.r.Context(), left)
-	x.ctx = &x.callerCtx
+	x.setContext(&x.callerCtx)
 	if x.r.ContentLength != 0 {
 		_ = http.NewResponseController(x.w).SetReadDeadline(x.callerCtx.deadline)
 	}
 }
 
+func (x *exchange) setContext(ctx *deadlineContext) {
+	x.ctx = ctx
+	x.waitCtx.Store(ctx)
+}
+
 // closeIfUnread makes the response close the caller's connection when part of
 // the body has not been read. In full-duplex mode net/http does not consume the
 // rest of a body, and would parse it as the next request.
@@ -138,6 +162,22 @@
 	}
 }
 
+// writeHeader writes the header of the response to the caller.
+func (x *exchange) writeHeader(status int) {
+	x.answered = true
+	x.w.WriteHeader(status)
+}
+
+// beginSend records that the request is sent to a target, and reports whether it may
+// be: not after it has been interrupted.
+func (x *exchange) beginSend(t *cove.Target) bool {
+	if !x.stage.CompareAndSwap(stageWaiting, stageSent) && x.stage.Load() == stageInterrupted {
+		return false
+	}
+	x.sentTo.Store(t)
+	return true
+}
+
 // remaining returns the time until the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration {
 	return x.deadline.Sub(now)
@@ -164,6 +204,15 @@
 	block uint64
 	// proto is the scheme that the caller uses.
 	proto string
+	// heads reserves the memory of headers; nil for HTTP/2 over TLS.
+	heads *connReserve
+}
+
+// endRequest releases what the header of r has reserved.
+func (c *caller) endRequest(r *http.Request) {
+	if c.heads != nil && r.ProtoMajor == 1 {
+		c.heads.release()
+	}
 }
 
 type callerKey struct{}
--- a/internal/route/proxy/hedge.go
+++ b/internal/route/proxy/hedge.go
@@ -48,20 +48,23 @@
 // hedge makes a second attempt at another target and returns the first response.
 func (p *Proxy) hedge(x *exchange, first *attempt, reason cove.RetryReason) (*answer, *failure) {
 	if !p.retryBudgets.For(x.pool()).Spend() {
-		return first.classify(first.upstream.awaitHead(0))
+		return first.classify(first.awaitHead(0))
 	}
 	x.avoid(first.target)
 	x.attempts++
 	ctx, cancel := context.WithCancel(x.ctx)
 	results := make(chan hedgeResult, 2)
 	p.tasks.Go(func(context.Context) error {
-		a, f := first.classify(first.upstream.awaitHead(0))
-		results <- hedgeResult{true, a, f}
+		r := hedgeResult{first: true, failure: &failure{refusal: errPanic}}
+		// The result of a panic must arrive too.
+		defer func() { results <- r }()
+		r.answer, r.failure = first.classify(first.awaitHead(0))
 		return nil
 	})
 	p.tasks.Go(func(context.Context) error {
-		a, f := p.secondAttempt(ctx, x, reason)
-		results <- hedgeResult{false, a, f}
+		r := hedgeResult{failure: &failure{refusal: errPanic}}
+		defer func() { results <- r }()
+		r.answer, r.failure = p.secondAttempt(ctx, x, reason)
 		return nil
 	})
 	won := <-results
@@ -95,7 +98,7 @@
 		return nil, f
 	}
 	p.Counters.Add(retryCounter(reason), 1)
-	return t.classify(t.upstream.awaitHead(0))
+	return t.classify(t.awaitHead(0))
 }
 
 // discardLoser cancels the slower attempt and discards its result in the
--- a/internal/route/proxy/peer.go
+++ b/internal/route/proxy/peer.go
@@ -66,6 +66,7 @@
 	}
 	x := &exchange{w: w, r: r, started: p.Clock.Now(), fromPeer: true}
 	defer p.endExchange(x)
+	defer p.handlePanic(x)
 	if ref := p.restoreExchange(x); ref != nil {
 		writeHopRefusal(w, ref)
 		return
@@ -112,6 +113,7 @@
 	x.attempts = attempt - 1
 	x.setRoute(route, p.routeStats.get(route.Name))
 	p.prepareHop(x, time.Duration(ms)*time.Millisecond, block)
+	p.progress.add(x)
 	return p.refuseUnfinished(x)
 }
 
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -33,9 +33,11 @@
 
 // Refusals due to the state of this host.
 var (
-	errNoTable  = refuseUnavailable(cove.ReasonNoTable, "no table yet")
-	errStopping = refuseUnavailable(cove.ReasonStopping, "host is stopping")
-	errBusy     = refuseUnavailable(cove.ReasonHostLimit, "too many requests on this host")
+	errNoTable     = refuseUnavailable(cove.ReasonNoTable, "no table yet")
+	errStopping    = refuseUnavailable(cove.ReasonStopping, "host is stopping")
+	errHeadersFull = refuseUnavailable(cove.ReasonHostMemory, "too many large headers on this host")
+	errHeapFull    = refuseUnavailable(cove.ReasonHostMemory, "no memory for more requests on this host")
+	errBusy        = refuseUnavailable(cove.ReasonHostLimit, "too many requests on this host")
 )
 
 // errNoLocalHandler is the refusal for unknown paths below localPrefix.
@@ -49,14 +51,17 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer callerOf(r).endRequest(r)
 	defer p.active.Add(-1)
+	// Refusals close the connection too: those of a stopping host are all that a
+	// caller may get on it.
+	if p.leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	if ref := p.beginRequest(); ref != nil {
 		p.writeRefusal(w, "", ref)
 		return
 	}
-	if p.leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	if strings.HasPrefix(r.URL.Path, localPrefix) {
 		p.serveLocal(w, r)
 		return
@@ -65,12 +70,15 @@
 }
 
 // beginRequest counts a request in progress and refuses it when the host is
-// busy or stopping. In either case p.active must be decremented afterwards.
+// busy, short of memory or stopping. In either case p.active must be decremented afterwards.
 func (p *Proxy) beginRequest() *cove.Refusal {
 	p.arrivals.Add(1)
 	if p.active.Add(1) > int64(p.cfg.MaxRequests) {
 		return errBusy
 	}
+	if p.heap.full.Load() {
+		return errHeapFull
+	}
 	if p.stopping() {
 		return errStopping
 	}
@@ -91,6 +99,7 @@
 	x := &exchange{w: w, r: r, started: p.Clock.Now()}
 	x.callerID, x.id = p.requestIDs(r.Header)
 	defer p.endExchange(x)
+	defer p.handlePanic(x)
 	a, err := p.handle(x)
 	if err != nil {
 		p.writeFailure(x, err)
@@ -109,6 +118,7 @@
 	ref := x.finalRefusal(asRefusal(err))
 	p.recordEnd(x, ref.Status, ref)
 	x.closeIfUnread()
+	x.answered = true
 	if x.r.Context().Err() != nil {
 		p.Counters.Add(counterCanceled, 1)
 		p.writeProblem(x.w, x.callerID, ref)
@@ -127,6 +137,7 @@
 		return nil, err
 	}
 	p.prepare(x, from)
+	p.progress.add(x)
 	if ref := p.refuseUnfinished(x); ref != nil {
 		return nil, ref
 	}
--- a/refuse.go
+++ b/refuse.go
@@ -40,6 +40,7 @@
 	ReasonShiftCap         Reason = "shiftCap"
 	ReasonLinkFull         Reason = "linkFull"
 	ReasonHostLimit        Reason = "hostLimit"
+	ReasonHostMemory       Reason = "hostMemory"
 	ReasonStopping         Reason = "stopping"
 	ReasonClaimUnavailable Reason = "claimUnavailable"
 	ReasonKeyReused        Reason = "idempotencyKeyReused"
@@ -52,6 +53,7 @@
 	ReasonPaused           Reason = "paused"
 	ReasonCrashesServers   Reason = "crashesServers"
 	ReasonIsolated         Reason = "isolated"
+	ReasonInternal         Reason = "internalError"
 )
 
 // RetryReason is the stable identifier of the reason for another attempt. Each
