--- a/internal/route/proxy/limits.go
+++ b/internal/route/proxy/limits.go
@@ -19,15 +19,15 @@
 	keyedPercent    = 5
 	http2Percent    = 5
 
-	// filesReserved is the number of descriptors that are kept for files.
-	filesReserved = 200
+	// ReservedDescriptors is the number of descriptors that are kept for files.
+	ReservedDescriptors = 200
 	// callerSocketsPercent is the share of the other descriptors for connections of
 	// callers. The others are for backend servers, hosts and the store.
 	callerSocketsPercent = 50
 	// requestSocketsPercent and idleSocketsPercent are the shares for connections to
 	// backend servers, with and without a request.
 	requestSocketsPercent = 20
-	idleSocketsPercent    = 20
+	idleSocketsPercent    = 15
 
 	// Limits if the memory and the descriptors of the process are not known.
 	defaultConns           = 4096
@@ -47,7 +47,7 @@
 		keyed = min(keyed, m*keyedPercent/100)
 	}
 	if n := int64(c.MaxDescriptors); n > 0 {
-		sockets := max(n-filesReserved, n/2)
+		sockets := max(n-ReservedDescriptors, n/2)
 		conns = min(conns, sockets*callerSocketsPercent/100)
 		requests = min(requests, sockets*requestSocketsPercent/100)
 		idle = min(idle, sockets*idleSocketsPercent/100)
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -73,6 +73,12 @@
 // countFull counts a connection that is closed because there are too many.
 func (p *Proxy) countFull() { p.Counters.Add(refusalCounter(cove.ReasonHostLimit), 1) }
 
+// LimitConns returns a listener that closes connections above max at once and calls
+// onFull for each.
+func LimitConns(ln net.Listener, max int, onFull func()) net.Listener {
+	return &boundedListener{Listener: ln, max: int64(max), onFull: onFull}
+}
+
 // boundedListener closes connections above a maximum at once, so that callers
 // fail over to another host instead of waiting in the accept queue.
 type boundedListener struct {
