--- a/internal/bench/soak/host.go
+++ b/internal/bench/soak/host.go
@@ -198,35 +198,26 @@
 	return last
 }
 
-// ready reports whether the host says that it is ready.
-func (h *host) ready(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.addr(readyPort).String()+"/ready", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := h.w.client.Do(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // readyTimeout bounds the start of all hosts.
 const readyTimeout = 60 * time.Second
 
-// awaitReady waits until the host is ready.
+// awaitReady waits until the host says that it is ready.
 func (h *host) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for !h.ready(ctx) {
-		select {
-		case <-ctx.Done():
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.addr(readyPort).String()+"/ready", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := h.w.client.Do(req); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if !sleep(ctx, 100*time.Millisecond) {
 			return errors.Errorf("%s is not ready", h.name)
-		case <-time.After(100 * time.Millisecond):
 		}
 	}
-	return nil
 }
