--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -72,6 +72,11 @@
 	// sentToOwner marks a keyed request that another host forwarded to this one
 	// as the owner of its key.
 	sentToOwner bool
+	// answered is set before the header of the response is written.
+	answered bool
+	// attemptsMu guards lastAttempt, the attempt begun last.
+	attemptsMu  sync.Mutex
+	lastAttempt *attempt
 	// fromPeer marks a request from another entry host.
 	fromPeer bool
 }
@@ -133,10 +138,14 @@
 	return &c
 }
 
-// setDeadline starts the context of the exchange, which ends after left.
+// setDeadline starts the context of the exchange, which ends after left. Reads of the
+// body fail from then on, as its sender may be slow or have stopped.
 func (x *exchange) setDeadline(left time.Duration) {
 	x.callerCtx.init(x.r.Context(), left)
 	x.setContext(&x.callerCtx)
+	if x.r.ContentLength != 0 {
+		_ = http.NewResponseController(x.w).SetReadDeadline(x.callerCtx.deadline)
+	}
 }
 
 func (x *exchange) setContext(ctx *deadlineContext) {
@@ -153,6 +162,12 @@
 	}
 }
 
+// writeHeader writes the header of the response to the caller.
+func (x *exchange) writeHeader(status int) {
+	x.answered = true
+	x.w.WriteHeader(status)
+}
+
 // beginSend records that the request is sent to a target, and reports whether it may
 // be: not after it has been interrupted.
 func (x *exchange) beginSend(t *cove.Target) bool {
@@ -190,7 +205,7 @@
 	// proto is the scheme that the caller uses.
 	proto string
 	// heads reserves the memory of headers; nil for HTTP/2 over TLS.
-	heads *headReserve
+	heads *connReserve
 }
 
 // endRequest releases what the header of r has reserved.
--- a/internal/route/proxy/guard.go
+++ b/internal/route/proxy/guard.go
@@ -281,12 +281,17 @@
 type guardedConn struct {
 	net.Conn
 	guard guard
-	// heads reserves memory for the headers.
-	heads headReserve
+	// heads reserves memory for the headers, from their arrival to the end of their
+	// requests, beyond the first unsharedHeaderBytes of each.
+	heads connReserve
+	// http2 reserves one of the connections that may use HTTP/2; onFull is called if
+	// there is none.
+	http2  connReserve
+	onFull func()
 	// tls is set if Conn uses TLS.
 	tls bool
-	// http2 is set once the connection speaks HTTP/2.
-	http2 atomic.Bool
+	// usesHTTP2 is set once the connection speaks HTTP/2.
+	usesHTTP2 atomic.Bool
 	// pending is read before the connection ends.
 	pending []byte
 }
@@ -301,10 +306,12 @@
 	}
 	n, err := c.Conn.Read(b)
 	passed, ok := c.guard.scan(b[:n])
-	if c.guard.state == guardHTTP2 && !c.http2.Load() {
-		c.http2.Store(true)
+	if c.guard.state == guardHTTP2 && !c.beginHTTP2() {
+		c.guard.state = guardEnded
+		c.onFull()
+		return 0, io.EOF
 	}
-	if ok && (!c.guard.readsHead() || c.heads.grow(c.guard.head)) {
+	if ok && (!c.guard.readsHead() || c.heads.grow(c.guard.head-unsharedHeaderBytes)) {
 		return n, err
 	}
 	if ok {
@@ -323,6 +330,18 @@
 	return c.readPending(b)
 }
 
+// beginHTTP2 reports whether the connection may use HTTP/2.
+func (c *guardedConn) beginHTTP2() bool {
+	if c.usesHTTP2.Load() {
+		return true
+	}
+	if !c.http2.grow(1) {
+		return false
+	}
+	c.usesHTTP2.Store(true)
+	return true
+}
+
 func (c *guardedConn) readPending(b []byte) (int, error) {
 	if len(c.pending) == 0 {
 		return 0, io.EOF
@@ -335,5 +354,6 @@
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.heads.close()
+	c.http2.close()
 	return c.Conn.Close()
 }
