End every attempt of a stop whose response has not been passed on

Callers: a keyed request that another host runs as the owner of its key got 503 at the end of this host's stop, a status that promises that it has not run (REFUSED), and was not counted as cut. A request whose short response had begun to arrive ended without an answer (LOST).

Cause: the way to the owner of a key did not count as sent, and the reads of a short response before its header is passed on could not be ended.

Evidence: TestKeyedRequestAtOwnerIsCutAtStop before: "status 503, outcome unknown, for a request that runs"; TestPartialShortAnswerIsCutAtStop before, a plain and a keyed request: "unexpected EOF".

Change: a request to the owner of its key goes through beginSend like any attempt; whileWaiting registers each read that comes before the header is passed on, and a stopped attempt answers 504 there too. After an attempt that cannot be followed by another one in time its failure is returned. The stand-in of a server tolerates that its listener is closed already.

Measured: both tests, and those of stops, keys and hops, pass.

--- a/internal/bench/server/server.go
+++ b/internal/bench/server/server.go
@@ -169,7 +169,11 @@
 	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	return srv.Close()
+	// Serve may not have noticed yet that the listener is closed.
+	if err := srv.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // CloseConnections closes all connections. The server keeps listening.
--- a/internal/route/proxy/attempt.go
+++ b/internal/route/proxy/attempt.go
@@ -105,7 +105,7 @@
 	} else if !x.idempotent() || x.attempts >= x.maxAttempts() {
 		return false
 	}
-	if p.refuseCrashing(x) != nil {
+	if p.refuseCrashing(x) != nil || p.refuseUnfinished(x) != nil {
 		return false
 	}
 	if !f.skipsBudget && !p.retryBudgets.For(x.pool()).Spend() {
@@ -195,8 +195,16 @@
 	return t.upstream.awaitHead(wait)
 }
 
-// stop ends an attempt that waits for the header of the response, because the host
-// stops.
+// whileWaiting reads a part of the response before its header is sent to the caller.
+// Meanwhile the attempt can be ended from outside.
+func (t *attempt) whileWaiting(read func() error) error {
+	t.proxy.waiting.add(t)
+	defer t.proxy.waiting.remove(t)
+	return read()
+}
+
+// stop ends an attempt of whose response nothing has been sent to the caller, because the
+// host stops.
 func (t *attempt) stop() {
 	t.stopped.Store(true)
 	t.upstream.abort()
@@ -305,7 +313,7 @@
 	}
 	t.reportStatus(resp)
 	a := newAnswer(t, resp)
-	if err := a.bufferShort(); err != nil {
+	if err := t.whileWaiting(a.bufferShort); err != nil {
 		return nil, t.broken(err)
 	}
 	if resp.Header[t.proxy.cfg.Dialect.NotRunHeader] != nil && !success(resp.StatusCode) || t.misdirected(resp) {
@@ -385,6 +393,10 @@
 }
 
 func (t *attempt) broken(err error) *failure {
+	if t.stopped.Load() {
+		t.abandon(cove.AttemptResult{Canceled: true})
+		return &failure{refusal: errCutOff}
+	}
 	t.checkCrash()
 	t.abandon(cove.AttemptResult{Err: err})
 	reason := cove.ReasonServerFailed
--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -115,7 +115,11 @@
 	if !a.complete && !p.reserve(x, p.cfg.MaxKeyedBytes) {
 		return a, nil
 	}
-	whole, err := a.readAll(p.cfg.MaxKeyedBytes)
+	var whole bool
+	err = a.attempt.whileWaiting(func() (err error) {
+		whole, err = a.readAll(p.cfg.MaxKeyedBytes)
+		return err
+	})
 	if err != nil {
 		a.release()
 		return nil, a.attempt.broken(err).refusal
@@ -171,11 +175,26 @@
 		cancel()
 		return nil, errOwnerUnreachable
 	}
-	resp, err := client.Do(req)
+	t := &attempt{proxy: p, exchange: x, ctx: ctx, permit: noPermit{}, target: cove.Target{Host: owner}, started: p.Clock.Now()}
+	u := &hopUpstream{attempt: t, cancel: cancel}
+	t.upstream = u
+	if !x.beginSend(&t.target) {
+		cancel()
+		return nil, errTooLate
+	}
+	var resp *http.Response
+	err = t.whileWaiting(func() (err error) {
+		resp, err = client.Do(req)
+		return err
+	})
 	if err != nil {
 		cancel()
+		if t.stopped.Load() {
+			return nil, errCutOff
+		}
 		return nil, errOwnerUnreachable
 	}
+	u.resp = resp
 	if err := p.restoreAnswer(resp); err != nil {
 		cancel()
 		// The body of a refusal is empty.
@@ -186,11 +205,12 @@
 		}
 		return nil, errOwnerUnreachable
 	}
-	t := &attempt{proxy: p, exchange: x, ctx: ctx, permit: noPermit{}, target: cove.Target{Host: owner}, started: p.Clock.Now()}
-	t.upstream = &hopUpstream{attempt: t, cancel: cancel, resp: resp}
 	a := newAnswer(t, resp)
-	if err := a.bufferShort(); err != nil {
+	if err := t.whileWaiting(a.bufferShort); err != nil {
 		t.upstream.finish(false)
+		if t.stopped.Load() {
+			return nil, errCutOff
+		}
 		return nil, errOwnerUnreachable
 	}
 	return a, nil
