Answer tickets, HTTP/2 callers and late arrivals at the end of a stop

Callers: requests for tickets that waited for tokens, and requests that were still being authenticated when a second signal ended the stop, got no answer. A refusal at the end was counted as a caller that had gone.

Cause: a ticket is no request in progress; a stop that is cut short by its context left the time of its end in the future; the interrupted read cancels the context of the request.

Change: the wait for a ticket ends with the requests; the end of the stop is set when they are ended; connections of all kinds count until their responses are sent, by polls and not by the clock, so that a stall does not cut them.

--- a/internal/route/proxy/claim.go
+++ b/internal/route/proxy/claim.go
@@ -262,5 +262,6 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), p.cfg.DefaultDeadline)
 	defer cancel()
+	defer context.AfterFunc(p.ending, cancel)()
 	return who.Team, asNotRun(p.Limiter.Take(ctx, who.Team, 1))
 }
--- a/internal/route/proxy/conns.go
+++ b/internal/route/proxy/conns.go
@@ -7,19 +7,15 @@
 	"time"
 )
 
-// callerConns holds the HTTP/1 connections of callers with their states. The zero value
-// is empty.
+// callerConns holds the connections of callers with their states. The zero value is
+// empty.
 type callerConns struct {
 	mu     sync.Mutex
-	states map[*guardedConn]http.ConnState
+	states map[net.Conn]http.ConnState
 }
 
 // observe implements the ConnState hook of an http.Server.
-func (s *callerConns) observe(nc net.Conn, state http.ConnState) {
-	c, ok := nc.(*guardedConn)
-	if !ok {
-		return
-	}
+func (s *callerConns) observe(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -27,20 +23,34 @@
 		delete(s.states, c)
 	default:
 		if s.states == nil {
-			s.states = make(map[*guardedConn]http.ConnState)
+			s.states = make(map[net.Conn]http.ConnState)
 		}
 		s.states[c] = state
 	}
 }
 
-// expire makes the connections without a request fail to read, so that the server
+// active returns the number of connections with a request.
+func (s *callerConns) active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, state := range s.states {
+		if state == http.StateActive {
+			n++
+		}
+	}
+	return n
+}
+
+// expire makes the HTTP/1 connections without a request fail to read, so that the server
 // closes them, and returns how many are open. A request that has been read is served.
 func (s *callerConns) expire() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	open := 0
-	for c, state := range s.states {
-		if c.usesHTTP2.Load() {
+	for nc, state := range s.states {
+		c, ok := nc.(*guardedConn)
+		if !ok || c.usesHTTP2.Load() {
 			continue
 		}
 		open++
--- a/internal/route/proxy/exchange.go
+++ b/internal/route/proxy/exchange.go
@@ -151,6 +151,10 @@
 func (x *exchange) setContext(ctx *deadlineContext) {
 	x.ctx = ctx
 	x.waitCtx.Store(ctx)
+	if x.stage.Load() == stageInterrupted {
+		// interrupt may have ended the context before this one only.
+		ctx.end()
+	}
 }
 
 // closeIfUnread makes the response close the caller's connection when part of
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -87,6 +87,9 @@
 	leftAt atomic.Pointer[time.Time]
 	// stopBy is when the requests in progress are cut off; nil if that is not known.
 	stopBy atomic.Pointer[time.Time]
+	// ending ends when the requests in progress are ended.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 var _ cove.Service = (*Proxy)(nil)
@@ -111,7 +114,10 @@
 	p.pool.maxHeads = p.cfg.MaxHeadersTotal
 	p.pool.maxIdle = p.cfg.MaxIdleServerConns
 	p.retryBudgets.SetConfig(p.cfg.RetryBudget)
-	p.localMux.HandleFunc("POST "+localPrefix+"ticket", p.serveTicket)
+	p.ending, p.end = context.WithCancel(context.Background())
+	if d.Deduplicator != nil {
+		p.localMux.HandleFunc("POST "+localPrefix+"ticket", p.serveTicket)
+	}
 	p.localMux.HandleFunc(localPrefix, func(w http.ResponseWriter, _ *http.Request) { p.writeRefusal(w, "", errNoLocalHandler) })
 	if d.Peers != nil {
 		d.Peers.Handle(forwardPath, http.HandlerFunc(p.serveForward))
--- a/internal/route/proxy/serve.go
+++ b/internal/route/proxy/serve.go
@@ -121,7 +121,8 @@
 	p.recordEnd(x, ref.Status, ref)
 	x.closeIfUnread()
 	x.answered = true
-	if x.r.Context().Err() != nil {
+	// The end of a read by interrupt cancels the context as if the caller had gone.
+	if x.r.Context().Err() != nil && x.stage.Load() != stageInterrupted {
 		p.Counters.Add(counterCanceled, 1)
 		p.writeProblem(x.w, x.callerID, ref)
 		return
--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -177,15 +177,21 @@
 	return nil
 }
 
-// waitAnswers waits until no request is in progress and all HTTP/1 connections are
-// closed, for answerTime at most. Connections without a request read no further one.
+// waitAnswers waits until no request is in progress, all HTTP/1 connections are closed
+// and HTTP/2 connections have no stream. It polls for answerTime at most; time in which
+// the process did not run does not count. Connections without a request read no further
+// one.
 func (p *Proxy) waitAnswers() {
-	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
-	defer cancel()
-	for p.conns.expire() > 0 || p.active.Load() > 0 {
-		if err := p.Clock.Sleep(ctx, pollInterval); err != nil {
+	var quiet int
+	for range answerTime / pollInterval {
+		if p.conns.expire() > 0 || p.active.Load() > 0 || p.conns.active() > 0 {
+			quiet = 0
+		} else if quiet++; quiet > 1 {
+			// An HTTP/2 connection has no stream before its last frames are flushed.
 			return
 		}
+		// Without a deadline Sleep returns no error.
+		_ = p.Clock.Sleep(context.Background(), pollInterval)
 	}
 }
 
@@ -194,8 +200,12 @@
 // connections of the others are closed. It reports the requests that had been sent.
 func (p *Proxy) endRequests() error {
 	p.stopListening()
-	p.progress.interrupt()
 	now, leftAt := p.Clock.Now(), p.leftAt.Load()
+	// Refuses the requests that are not in progress yet. The context of Stop may have been
+	// canceled before its deadline.
+	p.stopBy.Store(&now)
+	p.end()
+	p.progress.interrupt()
 	if leftAt == nil {
 		leftAt = &now
 	}
