Do not wait for the listener at the end of a stop

Callers: a host that had run out of descriptors shortly before the end of its stop was killed with all its requests.

Cause: the end of a stop waited until no more connections are accepted. After a failed accept net/http sleeps for up to a second and notices the closed listener only then; 0.7 s are left before SIGKILL.

Change: the listener is closed and not awaited there; the wait for the last responses covers connections accepted last.

--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -199,7 +199,9 @@
 // those whose response has not begun get a response that promises nothing, and the
 // connections of the others are closed. It reports the requests that had been sent.
 func (p *Proxy) endRequests() error {
-	p.stopListening()
+	// net/http may be in its delay after a failed accept, up to a second, so the end of the
+	// listener is not awaited. The only error is that it is closed already.
+	_ = p.listener.Close()
 	now, leftAt := p.Clock.Now(), p.leftAt.Load()
 	// Refuses the requests that are not in progress yet. The context of Stop may have been
 	// canceled before its deadline.
