--- a/internal/route/proxy/stop.go
+++ b/internal/route/proxy/stop.go
@@ -211,25 +211,33 @@
 	if leftAt == nil {
 		leftAt = &now
 	}
-	byRoute, events := p.progress.cut(now, *leftAt)
+	total := p.reportCut(p.progress.cut(now, *leftAt))
 	p.waiting.stop()
 	p.waitAnswers()
-	var total int64
+	if err := p.server.Close(); err != nil {
+		p.Events.Emit("proxy.closeFailed", err.Error())
+	}
+	if total == 0 {
+		return nil
+	}
+	return errors.Errorf("%d requests were cut", total)
+}
+
+// reportCut reports the requests that are cut and returns their number. It comes before
+// they end, as the process may be killed meanwhile.
+func (p *Proxy) reportCut(byRoute map[cove.RouteName]int64, events [][]cove.Field) (total int64) {
 	var fields []cove.Field
 	for name, n := range byRoute {
 		total += n
 		fields = append(fields, cove.Field{Name: string(name), Value: strconv.FormatInt(n, 10)})
 	}
-	if err := p.server.Close(); err != nil {
-		fields = append(fields, cove.Field{Name: "close", Value: err.Error()})
-	}
 	if total == 0 {
-		return nil
+		return 0
 	}
 	p.Counters.Add("proxy.cutRequests", total)
 	for _, ev := range events {
 		p.Events.Emit("proxy.requestCut", "stopped with the request in progress", ev...)
 	}
 	p.Events.Emit("proxy.requestsCut", "stopped with requests in progress", fields...)
-	return errors.Errorf("%d requests were cut", total)
+	return total
 }
