--- a/cmd/covebench/soak.go
+++ b/cmd/covebench/soak.go
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"turmericcove.org/cove/internal/bench/soak"
+	"turmericcove.org/cove/platform/soak"
 )
 
 type soakCmd struct {
