Close idle connections to make room for new callers

Cause: the limit of connections follows the memory and descriptors of a host now (1,950 instead of 4,096 here). Callers that were told to come back open new connections and leave the old ones idle, up to 3,300 files a host; with all connections taken, new ones were closed.

Change: above the limit the connection that has been idle for the longest time is made to fail its read, so that the server closes it; a request that has been read is served. Up to 64 connections may be open beyond the limit meanwhile. New ones are closed only if none is idle.

--- a/internal/route/proxy/conns.go
+++ b/internal/route/proxy/conns.go
@@ -10,8 +10,14 @@
 // callerConns holds the connections of callers with their states. The zero value is
 // empty.
 type callerConns struct {
-	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
+	mu    sync.Mutex
+	conns map[net.Conn]connState
+}
+
+type connState struct {
+	state http.ConnState
+	// since is when the connection got into the state.
+	since time.Time
 }
 
 // observe implements the ConnState hook of an http.Server.
@@ -20,13 +26,35 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
-		delete(s.states, c)
+		delete(s.conns, c)
 	default:
-		if s.states == nil {
-			s.states = make(map[net.Conn]http.ConnState)
+		if s.conns == nil {
+			s.conns = make(map[net.Conn]connState)
+		}
+		s.conns[c] = connState{state: state, since: time.Now()}
+	}
+}
+
+// expireIdlest makes the HTTP/1 connection that has been idle for the longest time fail
+// to read, so that the server closes it, and reports whether there was one.
+func (s *callerConns) expireIdlest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var idlest *guardedConn
+	var since time.Time
+	for nc, st := range s.conns {
+		c, ok := nc.(*guardedConn)
+		if ok && st.state == http.StateIdle && !c.usesHTTP2.Load() && (idlest == nil || st.since.Before(since)) {
+			idlest, since = c, st.since
 		}
-		s.states[c] = state
 	}
+	if idlest == nil {
+		return false
+	}
+	// Not chosen again. An error means that the connection is closed.
+	s.conns[idlest] = connState{state: http.StateNew, since: since}
+	_ = idlest.SetReadDeadline(time.Unix(1, 0))
+	return true
 }
 
 // active returns the number of connections with a request.
@@ -34,8 +62,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for _, state := range s.states {
-		if state == http.StateActive {
+	for _, st := range s.conns {
+		if st.state == http.StateActive {
 			n++
 		}
 	}
@@ -48,13 +76,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	open := 0
-	for nc, state := range s.states {
+	for nc, st := range s.conns {
 		c, ok := nc.(*guardedConn)
 		if !ok || c.usesHTTP2.Load() {
 			continue
 		}
 		open++
-		if state == http.StateNew || state == http.StateIdle {
+		if st.state == http.StateNew || st.state == http.StateIdle {
 			// An error means that the connection is closed.
 			_ = c.SetReadDeadline(time.Unix(1, 0))
 		}
--- a/internal/route/proxy/listen.go
+++ b/internal/route/proxy/listen.go
@@ -15,6 +15,10 @@
 // if no other write deadline is set.
 const writeTimeout = 5 * time.Minute
 
+// maxClosing is the number of connections above the maximum that may be open while
+// others are being closed to make room for them.
+const maxClosing = 64
+
 const (
 	// maxHTTP2Streams bounds the requests in progress on an HTTP/2 connection.
 	maxHTTP2Streams = 100
@@ -85,6 +89,9 @@
 type boundedListener struct {
 	net.Listener
 	max int64
+	// makeRoom begins to close another connection, and reports whether there is one
+	// that can be spared. It may be nil.
+	makeRoom func() bool
 	// wrap replaces a connection that does not use TLS; nil if they use it.
 	wrap   func(net.Conn) net.Conn
 	open   atomic.Int64
@@ -98,7 +105,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.max {
+		if n := l.open.Add(1); n <= l.max || n <= l.max+maxClosing && l.makeRoom != nil && l.makeRoom() {
 			bounded := &boundedConn{Conn: c, open: &l.open}
 			if l.wrap != nil {
 				return l.wrap(bounded), nil
--- a/internal/route/proxy/memory_test.go
+++ b/internal/route/proxy/memory_test.go
@@ -270,3 +270,19 @@
 		}
 	}
 }
+
+// Guards against new callers that are turned away because callers that rest keep all
+// connections open.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	const maxConns = 4
+	_, targets := newServers(t, 1, server.Config{})
+	h := newHost(t, "a", nil, Config{MaxConns: maxConns}, targets...)
+	for i := range 5 * maxConns {
+		if status, err := postRaw(dialRaw(t, h)); err != nil || status != http.StatusOK {
+			t.Fatalf("connection %d: status %d, %v", i, status, err)
+		}
+	}
+	if n := h.meter.Count("refusal.hostLimit"); n > 0 {
+		t.Errorf("%d connections were refused", n)
+	}
+}
--- a/internal/route/proxy/proxy.go
+++ b/internal/route/proxy/proxy.go
@@ -167,7 +167,7 @@
 
 func (p *Proxy) accept(ln net.Listener) error {
 	defer close(p.acceptEnded)
-	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), onFull: p.countFull}
+	bounded := &boundedListener{Listener: ln, max: int64(p.cfg.MaxConns), makeRoom: p.conns.expireIdlest, onFull: p.countFull}
 	if p.cfg.TLS != nil {
 		ln = newTLSListener(bounded, p.cfg.TLS, p.cfg.HeaderTimeout, p.tasks, func(c net.Conn) net.Conn { return p.guardConn(c, true) })
 	} else {
