--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/turmericcove ] && [ -x target/standin2 ] || exit 2
 dir=$(mktemp -d) || exit 2
-target/standin2 -case poison -dir "$dir" -record review/7/record.txt -trouble="${TROUBLE:-1}"
+target/standin2 -case poison -dir "$dir" -record review/8/record.txt -trouble="${TROUBLE:-1}"
 rc=$?
 rm -rf "$dir"
 [ "$rc" -le 1 ] || rc=2
