Review: a restored store brings back a worker that has left

Seen: a worker leaves without a report. Cause as far as known: an entry with the seq that the worker had when it left isn't taken for stale.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	inTouch bool
 	// runs holds when workers began to run it.
 	runs []time.Time
+	// workers holds the ids of these workers.
+	workers []string
 }
 
 // newAttempt registers an attempt.
@@ -38,6 +41,7 @@
 	w.mu.Lock()
 	if a := w.attempts[id]; a != nil {
 		a.runs = append(a.runs, time.Now())
+		a.workers = append(a.workers, worker)
 	}
 	w.mu.Unlock()
 	if path == deadlyPath {
@@ -66,7 +70,7 @@
 	req.Header.Set("X-Request-Id", id)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Token "+apiKey)
-	req.Header.Set("Cookie", "X-Affinity-Key=17")
+	req.Header.Set("Cookie", "X-Affinity-Key="+strings.TrimPrefix(path, lookPrefix))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,7 +26,8 @@
 
 // cases holds the cases by name. Each reports whether the rule held.
 var cases = map[string]func(context.Context, *world, bool) (held bool, err error){
-	"poison": runPoison,
+	"poison":   runPoison,
+	"restored": runRestored,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/poison.go
+++ b/review/standin2/poison.go
@@ -23,6 +23,8 @@
 	poisonHosts   = 8
 	poisonWorkers = 24
 	usualEvery    = 40 * time.Millisecond
+	// usualPerObject is the number of usual requests for an object, one after another.
+	usualPerObject = 20
 )
 
 // killsAfter holds the numbers of deadly requests shortly after which all hosts are
@@ -76,7 +78,7 @@
 func (w *world) usual(ctx context.Context) error {
 	for i := 0; ctx.Err() == nil; i++ {
 		w.tasks.Go(func(ctx context.Context) error {
-			w.send(ctx, w.hosts[i%len(w.hosts)], http.MethodGet, lookPrefix+fmt.Sprint(i%50), deadline)
+			w.send(ctx, w.hosts[i%len(w.hosts)], http.MethodGet, lookPrefix+fmt.Sprint(i/usualPerObject), deadline)
 			return nil
 		})
 		if err := sleepUntil(ctx, time.Now().Add(usualEvery)); err != nil {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -27,20 +28,35 @@
 	server *http.Server
 	began  time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era rises each time the store comes back from a copy; away is set meanwhile.
+	era     uint64
+	away    bool
 	ver     uint64
 	rows    map[string]row
 	history []row
-	changed chan struct{}
+	// historyFrom is the version from which on the history is kept.
+	historyFrom uint64
+	changed     chan struct{}
 }
 
 func newStore(w *world, ln net.Listener) *store {
-	s := &store{began: time.Now(), rows: make(map[string]row), changed: make(chan struct{})}
+	s := &store{era: 1, began: time.Now(), rows: make(map[string]row), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.transact)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away, era := s.away, s.era
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+		mux.ServeHTTP(w, r)
+	})}
 	w.tasks.Go(func(context.Context) error { _ = s.server.Serve(ln); return nil })
 	return s
 }
@@ -103,6 +119,36 @@
 	s.answer(w, http.StatusOK, out, ver)
 }
 
+// storeCopy is a copy of the store.
+type storeCopy struct {
+	ver  uint64
+	rows map[string]row
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.ver, maps.Clone(s.rows)}
+}
+
+// leave makes the store answer 503 to all calls, also to those that wait.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from a copy. Its history is gone.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.ver, s.rows, s.history = false, c.ver, c.rows, nil
+	s.historyFrom = c.ver
+	s.era++
+}
+
 // since returns the latest change of each row of a table after a version.
 func (s *store) since(table string, after uint64) (out []row, ver uint64, changed chan struct{}) {
 	s.mu.Lock()
@@ -122,6 +168,17 @@
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		s.mu.Lock()
+		away, gone := s.away, after < s.historyFrom || after > s.ver
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		rows, ver, changed := s.since(q.Get("table"), after)
 		if len(rows) > 0 {
 			s.answer(w, http.StatusOK, rows, ver)
