Detect resets at the end of responses without a length

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection.

Cause: such a body ends with the stream. Linux reports that a connection broke to one system call. When a write of the upload gets ECONNRESET, the next read returns 0, which is io.EOF, and the proxy took it for the end.

Change: the connection records whether a write failed with an error of the connection. A body that ends with the stream is wrapped: at io.EOF it waits for the sender of the request, as a flag alone may not be set yet, and returns an error if the connection broke. All readers of the body get it: streaming, stored answers, and an answer for another host. EPIPE is left out: the kernel sets it only after the other side has ended the stream.

Ruled out: a close with none of the request unread sends a FIN, so that the answer is complete on the wire. Bodies with a length and in chunks show their end. Short buffered request bodies have no concurrent sender; their error is recorded before the response is read. Reused connections: usable() closes a connection whose peek returned an error.

--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -55,6 +55,8 @@
 	wrote atomic.Bool
 	// writeFailed is set when part of the current request could not be sent.
 	writeFailed atomic.Bool
+	// broken is set when a write failed because the connection broke.
+	broken atomic.Bool
 	// deadline is the deadline of the current exchange.
 	deadline time.Time
 	// closeFunc and peekFunc are method values, created once to save
@@ -101,8 +103,8 @@
 	return n, err
 }
 
-// connWriter records in wrote that bytes may have been sent, and in writeFailed that
-// some could not be sent.
+// connWriter records in wrote that bytes may have been sent, in writeFailed that some
+// could not be sent, and in broken that the connection broke.
 type connWriter conn
 
 // Write implements io.Writer. A failed write may have sent some bytes.
@@ -114,13 +116,25 @@
 	if err != nil {
 		w.writeFailed.Store(true)
 	}
+	if connBroke(err) {
+		w.broken.Store(true)
+	}
 	return n, err
 }
 
+// connBroke reports whether a write failed because the connection broke, such as by a
+// reset or a timeout. EPIPE is not among these errors: it means that the other side had
+// ended its stream before.
+func connBroke(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
 // begin prepares the connection for the next exchange.
 func (c *conn) begin(deadline time.Time) error {
 	c.wrote.Store(false)
 	c.writeFailed.Store(false)
+	c.broken.Store(false)
 	c.head.begin()
 	c.deadline = deadline
 	return c.nc.SetDeadline(deadline)
--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -135,14 +135,14 @@
 			return nil, err
 		}
 	}
-	resp, err := u.conn.readHead(u.attempt.exchange.method, u.onContinue)
+	resp, err := u.readHead()
 	for range maxSkippedAnswers {
 		if err != nil || !u.stale(resp) {
 			break
 		}
 		u.attempt.proxy.Counters.Add(counterSkippedAnswers, 1)
 		if err = u.skipBody(resp); err == nil {
-			resp, err = u.conn.readHead(u.attempt.exchange.method, u.onContinue)
+			resp, err = u.readHead()
 		}
 	}
 	if err != nil {
@@ -153,6 +153,53 @@
 	return resp, nil
 }
 
+// readHead reads the header of a response. Reads of the body return an error if its end
+// is not valid.
+func (u *directUpstream) readHead() (*http.Response, error) {
+	resp, err := u.conn.readHead(u.attempt.exchange.method, u.onContinue)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Body = &checkedBody{resp.Body, u.checkEndOfStream}
+	}
+	return resp, nil
+}
+
+// checkedBody is a body whose end is valid only if check returns no error.
+type checkedBody struct {
+	io.ReadCloser
+	check func() error
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if cerr := b.check(); cerr != nil {
+			err = cerr
+		}
+	}
+	return n, err
+}
+
+// errConnBroken means that a body ends because the connection broke.
+var errConnBroken = errors.New("connection broke before the end of the response")
+
+// checkEndOfStream checks, once a read has returned io.EOF, that the backend server ended
+// the stream. The kernel reports that a connection broke to a single system call. If that
+// was a write, reads return io.EOF.
+func (u *directUpstream) checkEndOfStream() error {
+	if u.sendDone != nil {
+		// The sender may not have recorded its error yet.
+		u.bodySent()
+	}
+	if u.conn.broken.Load() {
+		return errConnBroken
+	}
+	return nil
+}
+
 // maxSkippedAnswers bounds the responses to earlier requests that are skipped
 // before the response to the current one.
 const maxSkippedAnswers = 2
--- a/internal/route/proxy/fakes_test.go
+++ b/internal/route/proxy/fakes_test.go
@@ -60,6 +60,8 @@
 	sent, responded func()
 	open            atomic.Int64
 	silent          atomic.Int64
+	// broken counts the attempts that ended with an error.
+	broken atomic.Int64
 }
 
 func (f *fakeAdmitter) Admit(ctx context.Context, _ []cove.PoolWeight, w cove.RequestInfo, ex cove.Exclude) (cove.Permit, error) {
@@ -113,6 +115,9 @@
 	if res.Silent {
 		p.f.silent.Add(1)
 	}
+	if res.Err != nil {
+		p.f.broken.Add(1)
+	}
 	if !p.once.CompareAndSwap(false, true) {
 		panic("permit was released twice")
 	}
