Refuse responses with a status below 100

Callers saw: a backend server in trouble sent a response with status 000. What followed it on the connection, such as a whole 200 in its body, reached the caller as the response; where nothing followed, the caller waited for its deadline and got 504.

Cause: readHead took each status under 200 for that of an interim response and read on. net/http accepts any three characters that form a number, so 000, 099, +20 and -00 pass its parser.

Statuses of two or four digits, none at all, and 000 with a chunked body were refused before.

Change: package verify checks a response that net/http has parsed; readHead calls it for interim and final heads. Interim statuses are those from 100 to 199. The attempt counts as a failure of the server with an unknown outcome (502), the connection is closed, and an idempotent request is tried elsewhere.

Ruled out: hosts restore the status of a response of another host from a field and accept 200 to 999 only. 600 to 999 are three digits and are passed on as before.

--- a/internal/route/proxy/conn.go
+++ b/internal/route/proxy/conn.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"turmericcove.org/cove/internal/core/dialer"
+	"turmericcove.org/cove/internal/core/verify"
 )
 
 const (
@@ -172,6 +173,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := verify.Response(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errProtocolSwitch
 		}
