Refuse responses with invalid field names

Callers saw: a backend server in trouble sent a response in whose head the name of a field held a blank. The line was left out and the rest delivered. With "Content-Length : 4" a body that ended early looked complete; with "Transfer-Encoding : chunked" the body was the lines of the chunks.

Cause: net/textproto accepts blanks in the names of fields, and net/http does not find such a field when it looks for the framing of the body.

A chunked body is wrapped so that the names in its trailer are checked at io.EOF; an invalid one cuts the response to the caller, and a response that is read whole before it is sent becomes a 502.

Handled before, tests kept: tabs, other control bytes, DEL and bytes beyond ASCII in a name, empty names, lines without a colon, a blank before the first name. A trailer that was not announced and all bytes of a token still pass.

--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"turmericcove.org/cove/internal/core/verify"
 )
 
 // continueTimeout is how long to wait for 100 Continue before the body is sent
@@ -160,8 +162,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	switch {
+	case resp.Body == http.NoBody || resp.ContentLength >= 0:
+	case len(resp.TransferEncoding) == 0:
 		resp.Body = &checkedBody{resp.Body, u.checkEndOfStream}
+	default:
+		resp.Body = &checkedBody{resp.Body, func() error { return verify.Response(resp) }}
 	}
 	return resp, nil
 }
