Take malformed health responses for failed probes

Callers saw nothing of their own; found by looking wherever responses are read. A backend server whose health endpoint responds with status 000, +20 or 101, or with a blank in the name of a field, counted as healthy, and its load and draining state were used. Requests went on to a server in trouble.

Cause: the prober took every status under 300 for success, and net/http passes such responses.

Change: the prober refuses what verify.Response refuses, and success is 200 to 299. A 503 with a report still counts as draining.

--- a/internal/route/health/probe.go
+++ b/internal/route/health/probe.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"turmericcove.org/cove/internal/core/verify"
 )
 
 // maxReportBytes bounds the response of a health or load endpoint.
@@ -59,7 +61,7 @@
 		return false
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxReportBytes))
-	if closeErr := res.Body.Close(); err != nil || closeErr != nil {
+	if closeErr := res.Body.Close(); err != nil || closeErr != nil || verify.Response(res) != nil {
 		return false
 	}
 	var a endpointStatus
@@ -70,7 +72,7 @@
 			r.Load = max(0, *a.Load)
 		}
 	}
-	return res.StatusCode < http.StatusMultipleChoices
+	return res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices
 }
 
 func (p *HTTPProber) client() *http.Client {
