Take malformed responses of the store for lost ones

Found by looking wherever responses are read. A commit whose response had status 000 was reported as failed although it had taken effect, and was not settled. A part of an object was returned as the whole if its length stood in a field whose name ends with a blank; objects hold tables.

Cause: the client of the store believed the status and the framing of responses that net/http passes although they are not valid.

Evidence: TestCommitWithMalformedResponse and TestObjectWithMalformedResponse; on the code before, 1 of 5 and 3 of 4 cases failed.

Change: such a response counts as lost, so a commit is settled by its token and an object is read again by the caller.

Measured: the tests pass; internal/state passes with -race.

Handled before, tests kept: a commit's response that is cut, also without a length, as a part of a JSON object is not valid JSON; an object that is cut before its announced length. Reads have no body, so that no write can take the error of a reset from the read.

--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -17,6 +17,7 @@
 
 	"turmericcove.org/cove"
 	"turmericcove.org/cove/internal/core/clock"
+	"turmericcove.org/cove/internal/core/verify"
 )
 
 // Default bounds.
@@ -91,6 +92,9 @@
 		return response{}, c.transportError(err)
 	}
 	defer resp.Body.Close()
+	if err := verify.Response(resp); err != nil {
+		return response{}, c.transportError(err)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, req.limit+1))
 	if err != nil {
 		return response{}, c.transportError(err)
