--- a/internal/bench/load/answer.go
+++ b/internal/bench/load/answer.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"turmericcove.org/cove"
+	"turmericcove.org/cove/internal/core/verify"
 )
 
 // maxAnswer bounds what is read of one answer.
@@ -17,6 +18,9 @@
 func readAnswer(resp *http.Response, rec *Record) {
 	rec.Status = resp.StatusCode
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err == nil {
+		err = verify.Response(resp)
+	}
 	rec.Broken = err != nil
 	rec.Whole = err == nil
 	if cerr := resp.Body.Close(); cerr != nil {
--- a/internal/bench/load/oracle_test.go
+++ b/internal/bench/load/oracle_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"net/http"
 	"testing"
 	"time"
 )
@@ -33,3 +34,18 @@
 		t.Errorf("%d requests inside the rate, want about 100", got)
 	}
 }
+
+// Guards against an oracle that takes a response that is not valid HTTP for a sound one.
+func TestMalformedResponseIsBroken(t *testing.T) {
+	for _, resp := range []http.Response{
+		{StatusCode: 0, Status: "000 Trouble"},
+		{StatusCode: 200, Header: http.Header{"X Odd": {"1"}}},
+		{StatusCode: 200, Trailer: http.Header{"X Odd": {"1"}}},
+	} {
+		resp.Body = http.NoBody
+		var rec Record
+		if readAnswer(&resp, &rec); !rec.Broken || rec.Whole {
+			t.Errorf("%+v is not broken", resp)
+		}
+	}
+}
