Count the broken attempts of malformed responses exactly

TestMalformedResponses let one of two attempts at a valid response count as broken; it now wants none, and two for an invalid one. A comment says why the end of a stream ends the sender. The product behaves as before.

--- a/internal/route/proxy/direct.go
+++ b/internal/route/proxy/direct.go
@@ -199,7 +199,7 @@
 // was a write, reads return io.EOF.
 func (u *directUpstream) checkEndOfStream() error {
 	if u.sendDone != nil {
-		// The sender may not have recorded its error yet.
+		// Ends the sender, which may not have recorded its error yet.
 		u.bodySent()
 	}
 	if u.conn.broken.Load() {
--- a/internal/route/proxy/malformed_test.go
+++ b/internal/route/proxy/malformed_test.go
@@ -98,8 +98,12 @@
 				t.Errorf("%s: the response takes %v", way, d)
 			}
 		}
-		if n := h.admit.broken.Load() - broken; (n == 2) != (c.Status == 0) {
-			t.Errorf("%s: %d of 2 attempts count as broken", way, n)
+		wantBroken := int64(0)
+		if c.Status == 0 {
+			wantBroken = 2
+		}
+		if n := h.admit.broken.Load() - broken; n != wantBroken {
+			t.Errorf("%s: %d of 2 attempts count as broken, want %d", way, n, wantBroken)
 		}
 	}
 	if c.Status != 0 {
