--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -71,7 +71,7 @@
 	sleep(ctx, 500*time.Millisecond)
 	traffic, stop := context.WithCancel(ctx)
 	defer stop()
-	w.traffic(traffic, 66)
+	w.traffic(traffic, 84)
 	sleep(ctx, 3*time.Second)
 	x := w.workers[0]
 	x.mu.Lock()
