--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -21,14 +23,14 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Println("usage: standin3 deadly|limit|copy RECORD")
+		fmt.Println("usage: standin3 deadly|limit|copy|odd RECORD")
 		os.Exit(failed)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
 func play(name, file string) int {
-	scenarios := map[string]func(context.Context, *world) (bool, error){"deadly": deadly, "limit": limit, "copy": restoredCopy}
+	scenarios := map[string]func(context.Context, *world) (bool, error){"deadly": deadly, "limit": limit, "copy": restoredCopy, "odd": odd}
 	scenario := scenarios[name]
 	if scenario == nil {
 		fmt.Println("no such case")
@@ -50,7 +52,9 @@
 		fmt.Println("logs in", dir)
 	}
 	w := newWorld(dir, out)
-	ctx, cancel := context.WithTimeout(context.Background(), maxTime)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, maxTime)
 	defer cancel()
 	defer w.stopHosts()
 	kept, err := scenario(ctx, w)
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,6 +36,8 @@
 	work     time.Duration
 	// limit is the value of Server-Limit, 0 for none.
 	limit float64
+	// spoiled is the share of the answers that answerOdd sends.
+	spoiled float64
 }
 
 // start starts a run of the worker and lists it.
@@ -186,6 +189,10 @@
 // "early" before it answers, else while it sends the answer.
 func (k *worker) answerWork(rw http.ResponseWriter, run int, id string, deadly bool) {
 	body := id + strings.Repeat(".", answerBytes-len(id))
+	if k.w.trouble && rand.Float64() < k.spoiled {
+		k.answerOdd(rw, id, run, body)
+		return
+	}
 	if !deadly {
 		k.answer(rw, http.StatusOK, body)
 		return
@@ -209,6 +216,19 @@
 	panic(http.ErrAbortHandler)
 }
 
+// answerOdd sends an answer that is none in HTTP: one of version 1.0 in chunks, which that
+// version does not have.
+func (k *worker) answerOdd(rw http.ResponseWriter, id string, run int, body string) {
+	c, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	k.w.log("%s gets an answer of HTTP/1.0 in chunks from worker %s", id, k.id)
+	_, _ = fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s.%d.%s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+		id, k.id, run, id, len(body), body)
+	_ = c.Close()
+}
+
 // count changes the numbers of waiting and running requests of a run.
 func (k *worker) count(run, waiting, running int) {
 	k.mu.Lock()
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -56,8 +56,10 @@
 	sent, ended    time.Time
 	status         int
 	whole          bool
-	// server is the id of the worker whose answer it is.
+	// server is the id of the worker whose answer it is, right is set if the body is the
+	// one that it sent.
 	server string
+	right  bool
 }
 
 // world is a deployment with its stand-ins.
@@ -273,6 +275,7 @@
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		length = len(data)
+		q.right = string(data) == q.id+strings.Repeat(".", max(answerBytes-len(q.id), 0))
 		q.status, q.whole = resp.StatusCode, err == nil
 		q.server, _, _ = strings.Cut(resp.Header.Get("X-Server-Stamp"), ".")
 	}
